--- /dev/null
+++ b/adapters/src/main/kotlin/boragering/adapters/Placeholder.kt
@@ -0,0 +1,4 @@
+package boragering.adapters
+
+/** Placeholder. */
+internal const val PLACEHOLDER = 1
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/LiveList.kt
@@ -0,0 +1,38 @@
+package boragering.core
+
+import arrow.core.Either
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Port to the platform's list of live and leaving instances. The list lags behind the truth. */
+interface LiveList {
+    /** Reads the whole list; the failure is an explanation for logs and operators. */
+    suspend fun read(): Either<LiveListFailure, PersistentList<ListedInstance>>
+}
+
+/** The live list could not be read. */
+data class LiveListFailure(val reason: String)
+
+/** One instance as the platform lists it; [address] is `host:port`. */
+@Serializable
+data class ListedInstance(
+    val id: InstanceId,
+    val address: String,
+    val pool: String,
+    val fabricDomain: FabricDomain,
+    val availabilityZone: AvailabilityZone,
+    val state: ListedState,
+)
+
+/** State of an instance in the live list. */
+@Serializable
+enum class ListedState {
+    /** The platform has not announced an end. */
+    @SerialName("live")
+    LIVE,
+
+    /** The platform will stop the instance; it must get no new work. */
+    @SerialName("leaving")
+    LEAVING,
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/PeerMessage.kt
@@ -0,0 +1,58 @@
+package boragering.core
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** A message between daemons, sent after both sides have proved the shared secret. */
+@Serializable
+sealed interface PeerMessage {
+    /** Asks whether the recipient is alive. */
+    @Serializable
+    @SerialName("ping")
+    data class Ping(val sequence: Long) : PeerMessage
+
+    /** Answers a [Ping]; [about] is the daemon that was found alive. [heartbeat] is that daemon's own counter. */
+    @Serializable
+    @SerialName("ping-answer")
+    data class PingAnswer(val sequence: Long, val about: DaemonId, val heartbeat: Long) : PeerMessage
+
+    /** Asks the recipient to ping [target] and to pass the answer on. */
+    @Serializable
+    @SerialName("ping-request")
+    data class PingRequest(val sequence: Long, val target: DaemonId) : PeerMessage
+
+    /** Passes on newer items. */
+    @Serializable
+    @SerialName("items")
+    data class Items(val items: List<Item>) : PeerMessage
+
+    /** States the versions that the sender knows, so that the recipient sends what is newer and asks for the rest. */
+    @Serializable
+    @SerialName("digest")
+    data class Digest(val versions: Map<String, Long>) : PeerMessage
+
+    /** Asks for items. */
+    @Serializable
+    @SerialName("item-request")
+    data class ItemRequest(val keys: List<String>) : PeerMessage
+
+    /** Numbers a moment by the sender's clock; see [GroupSummaries]. */
+    @Serializable
+    @SerialName("echo")
+    data class Echo(val number: Long) : PeerMessage
+
+    /** States the health of groups. [echo] is the highest echo number that the sender received from the recipient. */
+    @Serializable
+    @SerialName("group-summaries")
+    data class GroupSummaries(val echo: Long?, val summaries: List<GroupSummary>) : PeerMessage
+}
+
+/** A peer message with the sender's hybrid logical clock stamp. */
+@Serializable
+data class PeerEnvelope(val stamp: HybridTime, val message: PeerMessage)
+
+/** Sends messages to other daemons. Sending never suspends; a message to an unreachable daemon is dropped. */
+fun interface PeerLink {
+    /** Queues [message] for the daemon [to]. */
+    fun send(to: DaemonId, message: PeerMessage)
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/Registration.kt
@@ -0,0 +1,43 @@
+package boragering.core
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.serialization.Serializable
+
+/** How a daemon can be reached; each address is `host:port`. */
+@Serializable
+data class Registration(
+    val daemon: DaemonId,
+    val peerAddress: String,
+    val operatorAddress: String,
+    val callerAddress: String,
+    val availabilityZone: AvailabilityZone,
+    val region: String,
+) {
+    companion object {
+        /** Prefix of the store keys of all registrations. */
+        const val KEY_PREFIX = "boragering/daemons/"
+
+        /** The store key of a daemon's registration. */
+        fun key(daemon: DaemonId): String = "$KEY_PREFIX$daemon"
+    }
+}
+
+/** The daemons that this daemon holds to be live. Safe for use by several threads. */
+interface Peers {
+    /** This daemon. */
+    val self: Registration
+
+    /** All live daemons including [self], in order of their ids. */
+    val live: PersistentList<Registration>
+}
+
+/** The [count] live daemons that rank highest for [key]; the first one is the owner. */
+fun Peers.ranked(key: String, count: Int): List<Registration> =
+    Rendezvous.top(key, live, count) { it.daemon.value }
+
+/** Whether this daemon plans for [domain]. */
+fun Peers.plans(domain: FabricDomain): Boolean =
+    ranked("planner/$domain", 1).firstOrNull()?.daemon == self.daemon
+
+/** The daemons that hold [group] and send requests to it. */
+fun Peers.holders(group: GroupId, count: Int): List<Registration> = ranked("holder/$group", count)
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/Store.kt
@@ -0,0 +1,96 @@
+package boragering.core
+
+import arrow.core.Either
+import kotlinx.collections.immutable.PersistentList
+import kotlin.time.Duration
+
+/**
+ * Port to the platform's key-value service.
+ *
+ * Each call counts against the service's rate limits; a waiting watch counts as one call. Implementations bound each
+ * call by a timeout of their own and classify every failure as [StoreFailure].
+ */
+interface Store {
+    /** Reads one key; `null` when the key does not exist. */
+    suspend fun get(key: String): Either<StoreFailure, StoredValue?>
+
+    /** Reads one key if it was modified after [revision]; `null` when it was not, or does not exist. */
+    suspend fun getIfNewer(key: String, revision: StoreRevision): Either<StoreFailure, StoredValue?>
+
+    /** Reads all keys that start with [prefix], in key order. */
+    suspend fun range(prefix: String): Either<StoreFailure, PersistentList<StoredValue>>
+
+    /**
+     * Writes [value] if the key's last modification is [expected], or if the key does not exist when [expected] is
+     * [StoreRevision.NONE]. With a [lease] the key is removed when the lease ends.
+     */
+    suspend fun compareAndSwap(
+        key: String,
+        expected: StoreRevision,
+        value: String,
+        lease: LeaseId? = null,
+    ): Either<StoreFailure, SwapOutcome>
+
+    /** Deletes the key if its last modification is [expected]. */
+    suspend fun compareAndDelete(key: String, expected: StoreRevision): Either<StoreFailure, SwapOutcome>
+
+    /** Grants a lease that ends [timeToLive] after its last renewal. */
+    suspend fun grantLease(timeToLive: Duration): Either<StoreFailure, LeaseId>
+
+    /** Renews a lease; the remaining time, or zero when the lease has ended already. */
+    suspend fun renewLease(lease: LeaseId): Either<StoreFailure, Duration>
+
+    /** Ends a lease and removes its keys. */
+    suspend fun revokeLease(lease: LeaseId): Either<StoreFailure, Unit>
+
+    /**
+     * Waits up to [timeout] until a key that starts with [prefix] is modified after [after], and returns the changed
+     * values; an empty list when nothing changed in time.
+     */
+    suspend fun awaitChange(
+        prefix: String,
+        after: StoreRevision,
+        timeout: Duration,
+    ): Either<StoreFailure, PersistentList<StoredValue>>
+}
+
+/** Position in the key-value service's history; it grows with each write. */
+@JvmInline
+value class StoreRevision(val value: Long) : Comparable<StoreRevision> {
+    override fun compareTo(other: StoreRevision): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value.toString()
+
+    companion object {
+        /** The revision of a key that does not exist. */
+        val NONE = StoreRevision(0)
+    }
+}
+
+/** Identifies a lease of the key-value service. */
+@JvmInline
+value class LeaseId(val value: Long)
+
+/** A key with its value and the revision of its last modification. */
+data class StoredValue(val key: String, val value: String, val revision: StoreRevision)
+
+/** Result of a compare-and-swap that the service answered. */
+sealed interface SwapOutcome {
+    /** The write took effect at [revision]. */
+    data class Swapped(val revision: StoreRevision) : SwapOutcome
+
+    /** Nothing was written; [current] is what the key holds now, `null` when it does not exist. */
+    data class Conflict(val current: StoredValue?) : SwapOutcome
+}
+
+/** Why a call to the key-value service has no answer. */
+sealed interface StoreFailure {
+    /** Explanation for logs and operators. */
+    val reason: String
+
+    /** It is certain that the call changed nothing. */
+    data class NotApplied(override val reason: String) : StoreFailure
+
+    /** A write may or may not have taken effect. */
+    data class Uncertain(override val reason: String) : StoreFailure
+}
--- /dev/null
+++ b/scenarios/src/main/kotlin/boragering/scenarios/Main.kt
@@ -0,0 +1,6 @@
+package boragering.scenarios
+
+/** Starts the program. */
+fun main(arguments: Array<String>) {
+    println(arguments.size)
+}
