Name the members' addresses in load orders

Cause: the leader of a group has to reach the other members, and an order held only their ids.

Ruled out: a lookup of addresses by the engine, which has no access to the list.

Conclusion: an order is complete in itself.

--- a/core/src/main/kotlin/boragering/core/Targets.kt
+++ b/core/src/main/kotlin/boragering/core/Targets.kt
@@ -32,7 +32,7 @@
         override val fence: Fence,
         val model: String,
         val modelVersion: String,
-        val members: List<InstanceId>,
+        val members: List<OrderMember>,
         val leader: InstanceId,
     ) : Order
 
@@ -42,6 +42,10 @@
     data class Release(override val group: GroupId, override val fence: Fence) : Order
 }
 
+/** A member of a group in an order; [address] is `host:port`, so that the leader reaches the others. */
+@Serializable
+data class OrderMember(val instance: InstanceId, val address: String)
+
 /** Why a call to a target did not succeed. Only [NotSent] and [Refused] are certain not to have run anything. */
 sealed interface TargetFailure {
     /** Explanation for logs and operators. */
