Add the adapters for the store, the live list and targets

Cause: the core module's ports need implementations over HTTP.

Ruled out: Ktor's own client engine. With version 3.5.2 a chunked body whose connection ends before the last chunk is read as complete, so a caller could receive a part of an answer as the whole. Also ruled out: kept connections, since a closed one leaves it open whether a request was sent.

Conclusion: answers are complete only by end marker, declared length or last chunk; only a refused connection counts as not sent.

--- /dev/null
+++ b/adapters/src/main/kotlin/boragering/adapters/EventStream.kt
@@ -0,0 +1,45 @@
+package boragering.adapters
+
+import boragering.core.AnswerPart
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.readUTF8Line
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.contentOrNull
+
+/** A stream of server-sent events whose end is the event `[DONE]`. */
+internal class EventStream(private val channel: ByteReadChannel) {
+    /** Passes each event to [receive]; returns whether the end marker was read. */
+    suspend fun forEach(receive: suspend (AnswerPart.Event) -> Unit): Boolean {
+        val data = StringBuilder()
+        while (true) {
+            val line = channel.readUTF8Line(MAXIMUM_LINE_CHARACTERS) ?: return false
+            when {
+                line.startsWith(DATA_FIELD) -> data.appendLineOf(line.removePrefix(DATA_FIELD).removePrefix(" "))
+                line.isEmpty() && data.isNotEmpty() -> {
+                    val text = data.toString()
+                    data.clear()
+                    if (text == END_MARKER) return true
+                    receive(AnswerPart.Event(identityOf(text), text))
+                }
+            }
+        }
+    }
+
+    private fun StringBuilder.appendLineOf(text: String) {
+        if (isNotEmpty()) append('\n')
+        append(text)
+    }
+
+    private companion object {
+        const val DATA_FIELD = "data:"
+        const val END_MARKER = "[DONE]"
+        const val MAXIMUM_LINE_CHARACTERS = 1024 * 1024
+    }
+}
+
+/** The `id` field of a JSON object, or `null` when there is none. */
+internal fun identityOf(text: String): String? =
+    runCatching { ((Json.parseToJsonElement(text) as? JsonObject)?.get("id") as? JsonPrimitive)?.contentOrNull }
+        .getOrNull()
--- /dev/null
+++ b/adapters/src/main/kotlin/boragering/adapters/GatewayClient.kt
@@ -0,0 +1,111 @@
+package boragering.adapters
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import boragering.core.StoreFailure
+import boragering.core.StoredValue
+import io.ktor.client.HttpClient
+import io.ktor.client.request.post
+import io.ktor.client.request.preparePost
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.contentType
+import io.ktor.http.isSuccess
+import io.ktor.utils.io.readUTF8Line
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlin.time.Duration
+
+/** Calls of the key-value service's JSON gateway; each is bounded by [timeout], and its failures are classified. */
+internal class GatewayClient(
+    private val client: HttpClient,
+    private val baseUrl: String,
+    private val timeout: Duration,
+) {
+    private val json = Json { ignoreUnknownKeys = true }
+
+    /** Posts [request] to [path] and reads the answer. */
+    suspend inline fun <reified Q, reified A> post(path: String, request: Q): Either<StoreFailure, A> =
+        exchange(path, json.encodeToString(request)).flatMap { decode(path) { json.decodeFromString<A>(it) } }
+
+    /** Reads the keys of [request]. */
+    suspend fun range(request: RangeRequest): Either<StoreFailure, PersistentList<StoredValue>> =
+        post<RangeRequest, RangeResponse>("/v3/kv/range", request)
+            .map { response -> response.values.map { it.toStoredValue() }.toPersistentList() }
+
+    /** Waits up to [limit] for the first values that a watch reports; empty when there were none. */
+    suspend fun watch(request: WatchRequest, limit: Duration): Either<StoreFailure, PersistentList<StoredValue>> =
+        catching {
+            val changes =
+                withTimeoutOrNull(limit) {
+                    client
+                        .preparePost("$baseUrl/v3/watch") {
+                            contentType(ContentType.Application.Json)
+                            setBody(json.encodeToString(request))
+                        }.execute { response -> firstChanges { response.bodyAsChannel().readUTF8Line() } }
+                }
+            changes ?: persistentListOf()
+        }
+
+    /** Reads lines of the watch until one holds events. */
+    private suspend fun firstChanges(readLine: suspend () -> String?): PersistentList<StoredValue> {
+        while (true) {
+            val line = readLine() ?: error("the watch was closed by the service")
+            val response = json.decodeFromString<WatchStreamResponse>(line).result
+            check(response?.canceled != true) { "the watch was cancelled by the service" }
+            val puts = response?.events.orEmpty().filter { it.type != "DELETE" }
+            if (puts.isNotEmpty()) return puts.map { it.value.toStoredValue() }.toPersistentList()
+        }
+    }
+
+    private fun <A> decode(path: String, read: () -> A): Either<StoreFailure, A> =
+        try {
+            read().right()
+        } catch (malformed: SerializationException) {
+            StoreFailure.Uncertain("$path: malformed answer: ${malformed.message}").left()
+        }
+
+    private suspend fun exchange(path: String, body: String): Either<StoreFailure, String> =
+        catching {
+            withTimeoutOrNull(timeout) {
+                val response =
+                    client.post("$baseUrl$path") {
+                        contentType(ContentType.Application.Json)
+                        setBody(body)
+                    }
+                val text = response.bodyAsText()
+                check(response.status.isSuccess()) { "$path answered ${response.status.value}: ${text.take(LOGGED)}" }
+                text
+            }
+        }.flatMap { it?.right() ?: StoreFailure.Uncertain("$path did not answer within $timeout").left() }
+
+    // Any failure of a call must become a StoreFailure, whichever library raised it.
+    @Suppress("TooGenericExceptionCaught")
+    private suspend fun <A> catching(block: suspend () -> A): Either<StoreFailure, A> =
+        try {
+            block().right()
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (failure: Exception) {
+            val reason = failure.message ?: failure.toString()
+            if (isConnectFailure(failure)) {
+                StoreFailure.NotApplied(reason).left()
+            } else {
+                StoreFailure.Uncertain(reason).left()
+            }
+        }
+
+    private companion object {
+        /** Characters of an error response that go into the explanation. */
+        const val LOGGED = 200
+    }
+}
--- a/adapters/src/main/kotlin/boragering/adapters/Placeholder.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-package boragering.adapters
-
-/** Placeholder. */
-internal const val PLACEHOLDER = 1
--- /dev/null
+++ b/adapters/src/test/kotlin/boragering/adapters/CannedServer.kt
@@ -0,0 +1,38 @@
+package boragering.adapters
+
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.concurrent.thread
+
+/** Answers each connection on loopback with fixed bytes and closes it, whatever the request is. */
+internal class CannedServer(private val answer: String) : AutoCloseable {
+    private val socket = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
+
+    /** The first line of each request. */
+    val requestLines = CopyOnWriteArrayList<String>()
+
+    /** `host:port` of the server. */
+    val address = "127.0.0.1:${socket.localPort}"
+
+    private val acceptor = thread(isDaemon = true) { runCatching { while (true) serveOne() } }
+
+    private fun serveOne() {
+        socket.accept().use { connection ->
+            val reader = connection.getInputStream().bufferedReader()
+            requestLines += reader.readLine().orEmpty()
+            while (!reader.readLine().isNullOrEmpty()) Unit
+            connection.getOutputStream().write(answer.encodeToByteArray())
+            connection.getOutputStream().flush()
+        }
+    }
+
+    override fun close() {
+        socket.close()
+        acceptor.join()
+    }
+
+    private companion object {
+        const val BACKLOG = 16
+    }
+}
