--- a/adapters/src/main/kotlin/boragering/adapters/DeclaredBody.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/DeclaredBody.kt
@@ -33,7 +33,11 @@
         val buffer = ByteArray(BUFFER_BYTES)
         while (true) {
             val count = channel.readAvailable(buffer)
-            if (count < 0) break
+            if (count < 0) {
+                // A channel that was closed by a failure reports the end of the data, too.
+                channel.closedCause?.let { throw it }
+                break
+            }
             read += count
             receive(buffer.copyOf(count))
         }
--- a/adapters/src/test/kotlin/boragering/adapters/HttpTargetCallsTest.kt
+++ b/adapters/src/test/kotlin/boragering/adapters/HttpTargetCallsTest.kt
@@ -65,8 +65,11 @@
         }
 
         it("is broken when the connection ends before its last chunk") {
-            val (result, _) = answered("${head}2\r\nok\r\n", "/orders")
-            result.leftOrNull().shouldBeInstanceOf<TargetFailure.Broken>()
+            // Repeated, since an engine that reports the end and the failure at once is right only at times.
+            repeat(REPETITIONS) {
+                val (result, _) = answered("${head}2\r\nok\r\n", "/orders")
+                result.leftOrNull().shouldBeInstanceOf<TargetFailure.Broken>()
+            }
         }
     }
 
@@ -97,3 +100,5 @@
         }
     }
 })
+
+private const val REPETITIONS = 200
