--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/CatalogueReader.kt
@@ -0,0 +1,54 @@
+package boragering.core
+
+import arrow.core.Either
+import kotlinx.collections.immutable.toPersistentMap
+
+/** A validated operators' document; [baseRevision] is the revision that it states to be based on, if any. */
+data class CatalogueDocument(val baseRevision: Long?, val catalogue: Catalogue)
+
+/** Reads and validates the operators' JSON document. All faults are reported together. */
+object CatalogueReader {
+    private const val MAXIMUM_WEIGHT = 1000
+    private const val TOKEN_HASH_FORM = "sha256: and 64 hexadecimal digits in lower case"
+    private val TOKEN_HASH = Regex("sha256:[0-9a-f]{64}")
+    private val NAME = Regex("[a-z0-9][a-z0-9._-]{0,62}")
+
+    internal val name = Values.text(NAME, "up to 63 lower-case letters, digits, '.', '_' and '-', no sign first")
+
+    /**
+     * Reads [text]. The top-level key `revision`, which `boragerctl catalogue show` writes, becomes the base revision
+     * and the revision of the catalogue, which is 0 without it.
+     */
+    fun read(text: String): Either<List<Finding>, CatalogueDocument> = read(text, rejectUnknown = true)
+
+    /** Reads [text]; a document from the store may hold keys that a later version of the program has written. */
+    internal fun read(text: String, rejectUnknown: Boolean): Either<List<Finding>, CatalogueDocument> =
+        ObjectReader.parse(text) { root -> document(root, rejectUnknown) }
+
+    private fun document(root: ObjectReader, rejectUnknown: Boolean): CatalogueDocument {
+        val revision = root.optional<Long?>("revision", null, Values.number(0L..Long.MAX_VALUE))
+        val organisations = root.children("organisations").map { it to organisation(it) }
+        val entryReaders = root.children("entries").map { it to EntryReader(it) }
+        val entries = entryReaders.map { (place, reader) -> place to reader.entry() }
+        listOf("organisations", "entries").filterNot { root.has(it) }.forEach { root.fault(it, "is missing", "a list") }
+        if (rejectUnknown) {
+            (listOf(root) + organisations.map { it.first }).forEach { it.rejectUnknown() }
+            entryReaders.forEach { it.second.rejectUnknown() }
+        }
+        CatalogueChecks.organisations(organisations)
+        CatalogueChecks.entries(entries)
+        val catalogue = Catalogue(
+            revision ?: 0,
+            organisations.mapNotNull { it.second }.sortedBy { it.name.value }.associateBy { it.name }.toPersistentMap(),
+            entries.mapNotNull { it.second }.sortedBy { it.name.value }.associateBy { it.name }.toPersistentMap(),
+        )
+        return CatalogueDocument(revision, catalogue)
+    }
+
+    private fun organisation(reader: ObjectReader): Organisation? {
+        val name = reader.required("name", name)
+        val tokenHash = reader.required("tokenHash", Values.text(TOKEN_HASH, TOKEN_HASH_FORM))
+        val weight = reader.optional("weight", 1, Values.integer(1..MAXIMUM_WEIGHT))
+        return if (name == null || tokenHash == null) null else Organisation(OrganisationName(name), tokenHash, weight)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/ObjectReader.kt
@@ -0,0 +1,128 @@
+package boragering.core
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+
+/** Reads a value of one kind; the left side says what would be right. */
+typealias ValueReader<T> = (JsonElement) -> Either<String, T>
+
+/** Collects the findings about one JSON text and adds the lines. Not safe for use by several threads. */
+class FindingCollector internal constructor(private val lines: Map<String, Int>) {
+    private val collected = ArrayList<Finding>()
+
+    /** The findings so far, in the order of their lines. */
+    val findings: List<Finding> get() = collected.sortedBy { it.line ?: 0 }
+
+    /** Adds a finding about [path]; a path without a line of its own gets the line of the object that misses it. */
+    fun add(path: String, message: String, expected: String? = null) {
+        val line = lines[path] ?: lines[path.substringBeforeLast('.', "")]
+        collected += Finding(path, message, expected, line)
+    }
+}
+
+/**
+ * Reads one JSON object that a person wrote. Every fault becomes a finding with its path and line, and reading goes on,
+ * so that all faults are reported together. Findings never quote a value, since it may be a secret in the wrong place.
+ */
+class ObjectReader private constructor(
+    private val path: String,
+    private val json: JsonObject,
+    private val collector: FindingCollector,
+) {
+    private val asked = HashSet<String>()
+
+    /** Reads a value that must be present; `null` after a finding. */
+    fun <T> required(key: String, reader: ValueReader<T>): T? {
+        if (value(key) == null) collector.add(pathOf(key), "is missing", reader(JsonNull).leftOrNull())
+        return read(key, reader)
+    }
+
+    /** Reads a value that may be absent; [default] when it is, and after a finding. */
+    fun <T> optional(key: String, default: T, reader: ValueReader<T>): T = read(key, reader) ?: default
+
+    /** The object under [key], which must be present; `null` after a finding. */
+    fun child(key: String): ObjectReader? =
+        required(key, Values.json)?.let { ObjectReader(pathOf(key), it, collector) }
+
+    /** The objects of the list under [key]; an absent list is empty. */
+    fun children(key: String): List<ObjectReader> =
+        optional(key, JsonArray(emptyList()), Values.list).mapIndexedNotNull { index, element ->
+            val place = "${pathOf(key)}[$index]"
+            if (element !is JsonObject) collector.add(place, describe(element), "an object")
+            (element as? JsonObject)?.let { ObjectReader(place, it, collector) }
+        }
+
+    /** Adds a finding about [key]. */
+    fun fault(key: String, message: String, expected: String? = null) =
+        collector.add(pathOf(key), message, expected)
+
+    /** Whether [key] is present. */
+    fun has(key: String): Boolean = value(key) != null
+
+    /** Reports every key that was not asked for; call it when all others have been read. */
+    fun rejectUnknown() {
+        val expected = "one of ${asked.sorted().joinToString()}"
+        (json.keys - asked).forEach { collector.add(pathOf(it), "is an unknown key", expected) }
+    }
+
+    private fun value(key: String): JsonElement? {
+        asked += key
+        return json[key]
+    }
+
+    private fun <T> read(key: String, reader: ValueReader<T>): T? =
+        value(key)?.let { element ->
+            reader(element).onLeft { collector.add(pathOf(key), describe(element), it) }.getOrNull()
+        }
+
+    private fun pathOf(key: String): String = if (path.isEmpty()) key else "$path.$key"
+
+    companion object {
+        private val OFFSET = Regex("at offset ([0-9]+)")
+
+        /**
+         * Reads [text] with [read] and returns its result, or all findings when there are any. A text that is not a
+         * JSON object is one finding.
+         */
+        fun <T : Any> parse(text: String, read: (ObjectReader) -> T?): Either<List<Finding>, T> =
+            Either.catchOrThrow<SerializationException, JsonElement> { Json.parseToJsonElement(text) }
+                .mapLeft { listOf(syntaxFinding(text, it)) }
+                .fold({ it.left() }) { readRoot(text, it, read) }
+
+        private fun <T : Any> readRoot(
+            text: String,
+            root: JsonElement,
+            read: (ObjectReader) -> T?,
+        ): Either<List<Finding>, T> {
+            val scan = JsonScan(text)
+            val collector = FindingCollector(scan.lines)
+            scan.repeated.forEach { collector.add(it, "stands twice in the same object", "one value") }
+            val result = when (root) {
+                is JsonObject -> read(ObjectReader("", root, collector))
+                else -> null.also { collector.add("", describe(root), "an object") }
+            }
+            return if (result == null || collector.findings.isNotEmpty()) collector.findings.left() else result.right()
+        }
+
+        private fun syntaxFinding(text: String, exception: SerializationException): Finding {
+            val offset = OFFSET.find(exception.message.orEmpty())?.groupValues?.get(1)?.toIntOrNull()
+            val line = offset?.let { end -> text.take(end).count { it == '\n' } + 1 }
+            return Finding("", "is not valid JSON", "a JSON object", line)
+        }
+
+        private fun describe(element: JsonElement): String = when (element) {
+            is JsonObject -> "is an object"
+            is JsonArray -> "is a list"
+            is JsonNull -> "is null"
+            is JsonPrimitive -> if (element.isString) "is a string of another form" else "has a wrong value"
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/Values.kt
@@ -0,0 +1,69 @@
+package boragering.core
+
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.booleanOrNull
+import kotlinx.serialization.json.longOrNull
+import kotlin.time.Duration
+
+/** Readers for the kinds of values that settings and the catalogue hold. */
+object Values {
+    /** A string that is not blank. */
+    val text: ValueReader<String> = { element ->
+        string(element)?.takeIf { it.isNotBlank() }?.right() ?: "a string that is not empty".left()
+    }
+
+    /** `true` or `false`. */
+    val flag: ValueReader<Boolean> = { element ->
+        plain(element)?.booleanOrNull?.right() ?: "true or false".left()
+    }
+
+    /** A list of anything. */
+    val list: ValueReader<JsonArray> = { (it as? JsonArray)?.right() ?: "a list".left() }
+
+    /** A size in bytes. */
+    val size: ValueReader<Long> = { element ->
+        string(element)?.let { UnitReader.size(it) } ?: UnitReader.SIZE_FORM.left()
+    }
+
+    internal val json: ValueReader<JsonObject> = { (it as? JsonObject)?.right() ?: "an object".left() }
+
+    /** A string that matches [form] as a whole; [expected] describes it. */
+    fun text(form: Regex, expected: String): ValueReader<String> = { element ->
+        string(element)?.takeIf { form.matches(it) }?.right() ?: expected.left()
+    }
+
+    /** A whole number in [range]. */
+    fun number(range: LongRange): ValueReader<Long> = { element ->
+        plain(element)?.longOrNull?.takeIf { it in range }?.right()
+            ?: "a whole number from ${range.first} to ${range.last}".left()
+    }
+
+    /** A whole number in [range]. */
+    fun integer(range: IntRange): ValueReader<Int> = { element ->
+        number(range.first.toLong()..range.last.toLong())(element).map { it.toInt() }
+    }
+
+    /** A duration in [range]. */
+    fun duration(range: ClosedRange<Duration>): ValueReader<Duration> = { element ->
+        val bounds = "from ${UnitReader.text(range.start)} to ${UnitReader.text(range.endInclusive)}"
+        (string(element)?.let { UnitReader.duration(it) } ?: UnitReader.DURATION_FORM.left())
+            .mapLeft { "$it, $bounds" }
+            .flatMap { if (it in range) it.right() else "a duration $bounds".left() }
+    }
+
+    /** One of the names in [choices]. */
+    fun <T : Any> choice(choices: Map<String, T>): ValueReader<T> = { element ->
+        choices[string(element)]?.right() ?: "one of ${choices.keys.joinToString()}".left()
+    }
+
+    private fun string(element: JsonElement): String? =
+        (element as? JsonPrimitive)?.takeIf { it.isString }?.content
+
+    private fun plain(element: JsonElement): JsonPrimitive? = (element as? JsonPrimitive)?.takeIf { !it.isString }
+}
