--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/CatalogueDocuments.kt
@@ -0,0 +1,126 @@
+package boragering.core
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+
+/**
+ * The stored head: the changes that lead from the snapshot at revision [snapshot] to [revision]. The snapshot at
+ * revision 0 is the empty catalogue and is not stored.
+ */
+@Serializable
+internal data class HeadDocument(val revision: Long, val snapshot: Long, val changes: List<ChangeDocument>)
+
+/** One accepted change; a name without a value was removed. */
+@Serializable
+internal data class ChangeDocument(
+    val note: NoteDocument,
+    val organisations: Map<String, JsonObject?>,
+    val entries: Map<String, JsonObject?>,
+)
+
+/** One line of the history. [fingerprint] is that of the submitted document, so that its token cannot be reused. */
+@Serializable
+internal data class NoteDocument(val accepted: CatalogueRevision, val fingerprint: String)
+
+/** The stored snapshot: the whole catalogue at one revision and the history up to it. */
+@Serializable
+internal data class SnapshotDocument(val catalogue: JsonObject, val history: List<NoteDocument>)
+
+/** The catalogue at one revision with the history up to it, oldest first. */
+internal data class CatalogueState(val catalogue: Catalogue, val history: PersistentList<NoteDocument>) {
+    val revision: Long get() = catalogue.revision
+
+    /** This state after the changes of [head], or what is wrong; `null` when [head] does not continue this state. */
+    fun after(head: HeadDocument): Either<String, CatalogueState>? =
+        if (revision < head.snapshot || revision > head.revision) {
+            null
+        } else {
+            head.changes.filter { it.note.accepted.revision > revision }
+                .fold(right() as Either<String, CatalogueState>) { state, change -> state.flatMap { it.after(change) } }
+                .flatMap { if (it.revision == head.revision) it.right() else "the head lacks changes".left() }
+        }
+
+    /** This state after one change. */
+    fun after(change: ChangeDocument): Either<String, CatalogueState> {
+        val accepted = change.note.accepted
+        val rendered = CatalogueText.json(catalogue)
+        val json = buildJsonObject {
+            put("revision", accepted.revision)
+            listOf("organisations" to change.organisations, "entries" to change.entries).forEach { (key, changes) ->
+                put(key, merged(rendered.getValue(key) as JsonArray, changes))
+            }
+        }
+        val notes = (history + change.note).takeLast(HISTORY_LIMIT).toPersistentList()
+        return when {
+            accepted.revision != revision + 1 -> "revision ${accepted.revision} follows $revision".left()
+            else -> catalogueOf(json).map { CatalogueState(it, notes) }
+        }
+    }
+
+    /** The stored form. */
+    fun snapshot() = SnapshotDocument(CatalogueText.json(catalogue), history)
+
+    private fun merged(old: JsonArray, changes: Map<String, JsonObject?>): JsonArray {
+        val byName = old.associateBy { (it as JsonObject)["name"].toString().trim('"') }
+        return JsonArray((byName + changes).values.filterNotNull())
+    }
+
+    companion object {
+        /** How many changes the history and with it the tokens are kept for. */
+        const val HISTORY_LIMIT = 200
+
+        /** The state before the first change. */
+        val EMPTY = CatalogueState(Catalogue(0, persistentMapOf(), persistentMapOf()), persistentListOf())
+
+        /** The state that a snapshot holds, or what is wrong with it. */
+        fun of(document: SnapshotDocument): Either<String, CatalogueState> =
+            catalogueOf(document.catalogue).map { CatalogueState(it, document.history.toPersistentList()) }
+
+        private fun catalogueOf(json: JsonObject): Either<String, Catalogue> =
+            CatalogueReader.read(json.toString(), rejectUnknown = false)
+                .map { it.catalogue }
+                .mapLeft { findings -> findings.joinToString { "${it.path} ${it.message}" } }
+    }
+}
+
+/** Keys and text forms of the stored catalogue. */
+object CatalogueKeys {
+    /** Key of the head, in the store and among the items; the item's version is the catalogue's revision. */
+    const val HEAD = "boragering/catalogue/head"
+
+    /** Item key of the newest snapshot; the item's version is the snapshot's revision. */
+    const val SNAPSHOTS = "boragering/catalogue/snapshots"
+
+    internal const val SNAPSHOT_PREFIX = "$SNAPSHOTS/"
+
+    private val format = Json { ignoreUnknownKeys = true }
+
+    internal fun snapshot(revision: Long) = "$SNAPSHOT_PREFIX$revision"
+
+    internal fun text(head: HeadDocument) = format.encodeToString(HeadDocument.serializer(), head)
+
+    internal fun text(snapshot: SnapshotDocument) = format.encodeToString(SnapshotDocument.serializer(), snapshot)
+
+    internal fun head(text: String): Either<String, HeadDocument> = read(HeadDocument.serializer(), text)
+
+    internal fun snapshotState(text: String): Either<String, CatalogueState> =
+        read(SnapshotDocument.serializer(), text).flatMap { CatalogueState.of(it) }
+
+    private fun <T> read(serializer: KSerializer<T>, text: String): Either<String, T> =
+        Either.catchOrThrow<SerializationException, T> { format.decodeFromString(serializer, text) }
+            .mapLeft { "the stored document is unreadable: ${it.message}" }
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/CatalogueWriter.kt
@@ -0,0 +1,116 @@
+package boragering.core
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.commons.codec.digest.DigestUtils
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Changes the stored catalogue on behalf of operators. Several daemons may do so at once: each change is one
+ * compare-and-swap of the head. Safe for use by several coroutines.
+ */
+class CatalogueWriter(
+    private val store: Store,
+    private val items: Items,
+    private val clock: Clock,
+    private val random: Random,
+) {
+    private val loader = CatalogueLoader(store)
+    private val compaction = CatalogueCompaction(store, items)
+
+    /**
+     * Applies the document in [request]. The answer is `ACCEPTED`, `CONFLICT`, `INVALID` or `UNAVAILABLE` only when it
+     * is certain; a token that was accepted gets the same answer again as long as the history holds it.
+     */
+    suspend fun apply(request: ApplyRequest): ApplyAnswer =
+        CatalogueSubmission.of(request).fold(
+            { ApplyAnswer(ApplyResult.INVALID, findings = it) },
+            { submit(it) },
+        )
+
+    /** The accepted changes that the store still holds, newest first. */
+    suspend fun history(): Either<StoreFailure, HistoryAnswer> =
+        loader.load().map { loaded -> HistoryAnswer(loaded.state.history.reversed().map { it.accepted }) }
+
+    private suspend fun submit(submission: CatalogueSubmission): ApplyAnswer {
+        // The head's last modification on which a write of unknown outcome was based.
+        var pending: StoreRevision? = null
+        var answer: ApplyAnswer? = null
+        var attempt = 0
+        while (answer == null && attempt < TRIES) {
+            if (attempt > 0) delay(PAUSE * (attempt + random.nextDouble()))
+            attempt++
+            val loaded = loader.load().getOrElse { failure ->
+                if (pending == null) answer = unavailable(failure)
+                null
+            }
+            // A head that has changed without the token proves that the pending write can no longer take effect.
+            if (loaded != null && loaded.storeRevision != pending) pending = null
+            answer = answer ?: loaded?.let { submission.decide(it, loader) }
+            if (loaded != null && answer == null) {
+                val written = write(submission, loaded, pending != null)
+                answer = written.answer
+                if (written.uncertain) pending = loaded.storeRevision
+            }
+        }
+        return answer ?: exhausted(pending != null)
+    }
+
+    /** Sending the same write again is safe: at most one write can follow the head's modification that it expects. */
+    private suspend fun write(submission: CatalogueSubmission, loaded: LoadedCatalogue, pending: Boolean): Written {
+        val change = submission.change(loaded.state.catalogue, clock.wallMilliseconds())
+        val head = HeadDocument(
+            revision = change.note.accepted.revision,
+            snapshot = loaded.head.snapshot,
+            changes = loaded.head.changes + change,
+        )
+        val text = CatalogueKeys.text(head)
+        return store.compareAndSwap(CatalogueKeys.HEAD, loaded.storeRevision, text).fold(
+            { failure ->
+                when {
+                    failure is StoreFailure.Uncertain -> Written(null, uncertain = true)
+                    pending -> Written(null, uncertain = true)
+                    else -> Written(unavailable(failure), uncertain = false)
+                }
+            },
+            { outcome ->
+                if (outcome is SwapOutcome.Swapped) accepted(loaded, head, text, outcome.revision)
+                Written(submission.answer(change.note).takeIf { outcome is SwapOutcome.Swapped }, uncertain = false)
+            },
+        )
+    }
+
+    private suspend fun accepted(loaded: LoadedCatalogue, head: HeadDocument, text: String, at: StoreRevision) {
+        items.accept(Item(CatalogueKeys.HEAD, head.revision, text))
+        loaded.state.after(head)?.onRight { state ->
+            withTimeoutOrNull(COMPACTION_TIME) { compaction.compact(LoadedCatalogue(loaded.base, state, head, at)) }
+        }
+    }
+
+    private fun unavailable(failure: StoreFailure) =
+        ApplyAnswer(ApplyResult.UNAVAILABLE, detail = "nothing was written: ${failure.reason}")
+
+    private fun exhausted(pending: Boolean) = if (pending) {
+        ApplyAnswer(ApplyResult.UNKNOWN, detail = "the store did not confirm the change; send the same token again")
+    } else {
+        ApplyAnswer(ApplyResult.UNAVAILABLE, detail = "nothing was written: the head changed in each of $TRIES tries")
+    }
+
+    private data class Written(val answer: ApplyAnswer?, val uncertain: Boolean)
+
+    private companion object {
+        const val TRIES = 6
+        val PAUSE = 200.milliseconds
+
+        // The change is accepted already; a slow store must not keep the operator waiting for the answer.
+        val COMPACTION_TIME = 5.seconds
+    }
+}
+
+/** Digest of a catalogue without its revision. */
+internal fun fingerprint(catalogue: Catalogue): String =
+    DigestUtils.sha256Hex(CatalogueText.json(catalogue.copy(revision = 0)).toString())
--- a/core/src/main/kotlin/boragering/core/OperatorApi.kt
+++ b/core/src/main/kotlin/boragering/core/OperatorApi.kt
@@ -84,7 +84,8 @@
 
 /**
  * Answer of `POST /operator/catalogue`, with HTTP status 200 for accepted, 409 for a conflict, 422 for findings and 503
- * for unknown or unavailable.
+ * for unknown or unavailable. After a conflict, [revision] is the current one, [changed] names what has changed since
+ * the base revision, and [conflicting] names what the refused document would change too.
  */
 @Serializable
 data class ApplyAnswer(
@@ -93,6 +94,7 @@
     val changed: List<String> = emptyList(),
     val findings: List<Finding> = emptyList(),
     val detail: String? = null,
+    val conflicting: List<String> = emptyList(),
 )
 
 /** What became of a change to the catalogue. */
