--- /dev/null
+++ b/core/src/test/kotlin/boragering/core/CatalogueReplicaTest.kt
@@ -0,0 +1,98 @@
+package boragering.core
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeSortedWith
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.advanceTimeBy
+import kotlinx.coroutines.test.runTest
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class CatalogueReplicaTest : DescribeSpec({
+    fun replica(store: Store, items: Items = FakeItems(), peers: Peers = FakePeers("self")) =
+        CatalogueReplica(store, items, peers, {}, Random(1))
+
+    /** The head items of [count] changes, and the snapshot items, as the writer publishes them. */
+    suspend fun published(store: FakeStore, count: Long): List<Item> {
+        val published = ArrayList<Item>()
+        val items = FakeItems()
+        items.listen("boragering/catalogue/") { published += it }
+        val writer = CatalogueWriter(store, items, FakeClock(), Random(1))
+        (0 until count).forEach { base ->
+            writer.apply(Documents.request(base, "t$base", Documents.service("a", owner = "owner-$base")))
+        }
+        return published
+    }
+
+    describe("a replica") {
+        it("never goes back when items arrive in any order and repeatedly") {
+            runTest {
+                val published = published(FakeStore(), 60)
+                repeat(20) { seed ->
+                    val items = FakeItems()
+                    val replica = replica(FakeStore(), items)
+                    val seen = ArrayList<Long>()
+                    replica.listen { seen += it.revision }
+                    (published + published).shuffled(Random(seed)).forEach {
+                        // Items of an unordered transport: the version filter of the real items is not relied on.
+                        items.known.remove(it.key)
+                        items.accept(it)
+                    }
+                    seen shouldBeSortedWith naturalOrder<Long>()
+                    seen.distinct() shouldBe seen
+                    replica.current()?.revision shouldBe 60
+                }
+            }
+        }
+
+        it("reads the snapshot from the store when it has a head without it") {
+            runTest {
+                val store = FakeStore()
+                val head = published(store, 60).last { it.key == CatalogueKeys.HEAD }
+                val items = FakeItems()
+                val replica = replica(store, items)
+                items.accept(head)
+                replica.current().shouldBeNull()
+                val loop = launch { replica.run() }
+                advanceTimeBy(100.milliseconds)
+                replica.current()?.revision shouldBe 60
+                items.known.keys shouldContain CatalogueKeys.SNAPSHOTS
+                loop.cancel()
+            }
+        }
+
+        it("keeps its revision and recovers within 20 s of the store's return") {
+            runTest {
+                val store = FakeStore()
+                val replica = replica(store, peers = FakePeers("self", "a", "b", "c"))
+                published(store, 1)
+                val loop = launch { replica.run() }
+                advanceTimeBy(1.seconds)
+                store.down = true
+                advanceTimeBy(300.seconds)
+                replica.current()?.revision shouldBe 1
+                store.down = false
+                CatalogueWriter(store, FakeItems(), FakeClock(), Random(2))
+                    .apply(Documents.request(1, "t", Documents.service("b")))
+                advanceTimeBy(20.seconds)
+                replica.current()?.revision shouldBe 2
+                loop.cancel()
+            }
+        }
+
+        it("ignores a document that it cannot read") {
+            val items = FakeItems()
+            val events = ArrayList<TimelineEntry>()
+            val replica = CatalogueReplica(FakeStore(), items, FakePeers("self"), events::add, Random(1))
+            items.accept(Item(CatalogueKeys.HEAD, 9, "{"))
+            replica.current().shouldBeNull()
+            events.single().kind shouldBe "catalogue-unreadable"
+        }
+    }
+})
