--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/TimelineBuffer.kt
@@ -0,0 +1,43 @@
+package boragering.core
+
+/** Which events to return; an absent part matches everything. [sinceMilliseconds] is wall-clock time. */
+data class TimelineQuery(
+    val group: GroupId? = null,
+    val instance: InstanceId? = null,
+    val request: RequestId? = null,
+    val sinceMilliseconds: Long? = null,
+) {
+    /** Whether [event] is asked for. */
+    fun matches(event: TimelineEvent): Boolean = listOf(
+        group == null || event.entry.group == group,
+        instance == null || event.entry.instance == instance,
+        request == null || event.entry.request == request,
+        sinceMilliseconds == null || event.stamp.milliseconds >= sinceMilliseconds,
+    ).all { it }
+}
+
+/** The newest events of one daemon; the oldest gives way when [capacity] is reached. */
+class TimelineBuffer(private val clock: HybridClock, private val capacity: Int = CAPACITY) : Timeline {
+    private val events = ArrayDeque<TimelineEvent>()
+
+    override fun record(event: TimelineEntry): Unit = synchronized(events) {
+        if (events.size == capacity) events.removeFirst()
+        events.addLast(TimelineEvent(clock.issue(), event))
+    }
+
+    /** The matching events in order of their stamps. */
+    fun query(query: TimelineQuery): List<TimelineEvent> = synchronized(events) { events.filter(query::matches) }
+
+    companion object {
+        /** How many events a daemon keeps. */
+        const val CAPACITY = 20_000
+    }
+}
+
+/** The event as part of the time line. */
+fun DivisionEvent.toTimelineEvent(): TimelineEvent =
+    TimelineEvent(stamp, TimelineEntry(kind = "division", text = text, group = group, entry = entry))
+
+/** One order of the events of many daemons; an event that several of them hold appears once. */
+fun mergeTimelines(timelines: Iterable<List<TimelineEvent>>): List<TimelineEvent> =
+    timelines.flatten().distinct().sortedBy { it.stamp }
