Add the replica of divisions and the health of groups

The daemon and the request path need the directory of targets first.

Evidence is kept per group and fencing number. For a group that is whole its time is that of the oldest member report; otherwise it is the time of the newest report that speaks against the group, so that a bad report is not outdated by an older silent member. The age of a summary counts from the send time of the echo that it names, which bounds its time in transit; a summary without a known echo does not count.

--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/DivisionDocument.kt
@@ -0,0 +1,24 @@
+package boragering.core
+
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+
+/** The stored and disseminated form of a [Division]. */
+object DivisionDocument {
+    // A daemon of an older version ignores the fields that a newer one adds.
+    private val json = Json { ignoreUnknownKeys = true }
+
+    /** Encodes [division] as JSON. */
+    fun encode(division: Division): String = json.encodeToString(division)
+
+    /** Decodes a document; `null` when it is not a valid division. */
+    fun decode(text: String): Division? =
+        try {
+            json.decodeFromString<Division>(text)
+        } catch (_: IllegalArgumentException) {
+            null
+        }
+
+    /** The item that passes [division] on to other daemons. */
+    fun item(division: Division): Item = Item(Division.key(division.domain), division.version, encode(division))
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/DivisionReplica.kt
@@ -0,0 +1,31 @@
+package boragering.core
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import java.util.concurrent.atomic.AtomicReference
+
+/**
+ * This daemon's copy of the divisions, fed by [Items]. A lower version never replaces a higher one. Items that are not
+ * valid divisions of their key's domain are recorded in [timeline] and otherwise ignored.
+ */
+class DivisionReplica(items: Items, private val timeline: Timeline) : DivisionSource {
+    private val divisions = AtomicReference(persistentMapOf<FabricDomain, Division>())
+
+    init {
+        items.listen(Division.KEY_PREFIX, ::accept)
+    }
+
+    override fun current(): PersistentMap<FabricDomain, Division> = divisions.get()
+
+    private fun accept(item: Item) {
+        val division = DivisionDocument.decode(item.content)
+        if (division == null || Division.key(division.domain) != item.key || division.version != item.version) {
+            timeline.record(TimelineEntry("division-invalid", "item ${item.key} version ${item.version} is invalid"))
+            return
+        }
+        divisions.updateAndGet { known ->
+            val newer = known[division.domain]?.let { it.version < division.version } ?: true
+            if (newer) known.put(division.domain, division) else known
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/GroupEvidence.kt
@@ -0,0 +1,81 @@
+package boragering.core
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * What is known of one group under one fencing number. [at] is by this daemon's monotonic clock: for a whole group a
+ * lower bound of the time of the oldest member report, otherwise of the newest report that speaks against the group.
+ */
+data class GroupEvidence(
+    val group: GroupId,
+    val fence: Fence,
+    val whole: Boolean,
+    val leaving: Boolean,
+    val running: Int,
+    val queued: Int,
+    val slots: Int,
+    val at: Duration,
+) {
+    /** Whether this evidence allows new requests, if it is recent enough. */
+    val favourable: Boolean get() = whole && !leaving
+
+    /** The message for holders of the group, built at [now]. */
+    fun summary(domain: FabricDomain, now: Duration): GroupSummary =
+        GroupSummary(
+            domain,
+            group,
+            fence,
+            whole,
+            leaving,
+            running,
+            queued,
+            slots,
+            (now - at).inWholeMilliseconds + 1,
+        )
+}
+
+/** The evidence in a summary that was built after [echoAt] by this daemon's monotonic clock. */
+internal fun GroupSummary.evidence(echoAt: Duration): GroupEvidence =
+    GroupEvidence(
+        group,
+        fence,
+        whole,
+        leaving,
+        running,
+        queued,
+        slots,
+        at = echoAt - ageMilliseconds.coerceAtLeast(0).milliseconds,
+    )
+
+/** A report and the time, by the monotonic clock, at which the instance was asked for it. */
+data class TimedReport(val report: InstanceReport, val askedAt: Duration)
+
+/** Whether [report] shows that [member] is ready for exactly this group and fencing number. */
+internal fun Group.isServedBy(member: Member, report: InstanceReport): Boolean {
+    val ordered = model == null || (report.group == id && report.fence == fence)
+    return ordered && report.incarnation == member.incarnation && report.phase == InstancePhase.READY
+}
+
+/**
+ * The evidence that the members' newest reports give for this group; `null` until every member has reported once.
+ * [leaving] says whether an instance is known to leave from elsewhere, such as the live list.
+ */
+internal fun Group.evidence(reports: (InstanceId) -> TimedReport?, leaving: (InstanceId) -> Boolean): GroupEvidence? {
+    val seen = members.map { it to (reports(it.instance) ?: return null) }
+    val against = seen.filter { (member, timed) ->
+        !isServedBy(member, timed.report) || timed.report.leaving || leaving(member.instance)
+    }
+    val leader = seen.first { (member, _) -> member.instance == leader }.second.report
+    return GroupEvidence(
+        group = id,
+        fence = fence,
+        whole = seen.all { (member, timed) -> isServedBy(member, timed.report) },
+        leaving = seen.any { (member, timed) -> timed.report.leaving || leaving(member.instance) } ||
+            phase is GroupPhase.Draining,
+        running = leader.running,
+        queued = leader.queued,
+        slots = leader.slots,
+        at = against.maxOfOrNull { it.second.askedAt } ?: seen.minOf { it.second.askedAt },
+    )
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/GroupHealth.kt
@@ -0,0 +1,109 @@
+package boragering.core
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.toPersistentList
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Limits of [GroupHealth]. [evidenceLimit] is the age beyond which evidence no longer allows new requests. */
+data class HealthSettings(
+    val evidenceLimit: Duration = 2.5.seconds,
+    val leavingMargin: Duration = 1.seconds,
+    val holdersPerGroup: Int = DEFAULT_HOLDERS,
+) {
+    private companion object {
+        const val DEFAULT_HOLDERS = 6
+    }
+}
+
+/**
+ * The health of groups as this daemon knows it, from its own polls and from planners' summaries. The newest evidence
+ * counts; its age is an upper bound by the monotonic clock. Safe for use by several threads.
+ */
+class GroupHealth(
+    private val peers: Peers,
+    divisions: DivisionSource,
+    private val echoes: EchoBook,
+    private val clock: Clock,
+    private val settings: HealthSettings = HealthSettings(),
+) : TargetDirectory {
+    private val held = HeldGroups(peers, divisions, settings.holdersPerGroup)
+    private val shards = List(SHARDS) { HealthShard(settings.leavingMargin) }
+
+    override fun candidates(entry: EntryName): PersistentList<Candidate> {
+        val now = clock.monotonic()
+        return held.current().activeByEntry[entry].orEmpty()
+            .mapNotNull { candidate(it.group, now) }
+            .toPersistentList()
+    }
+
+    override fun usable(candidate: Candidate): Boolean {
+        val group = held.current().byGroup[candidate.group]?.group ?: return false
+        val same = group.fence == candidate.fence && group.leadingMember.address == candidate.address
+        return same && group.phase == GroupPhase.Active && candidate(group, clock.monotonic()) != null
+    }
+
+    /**
+     * The mark ends only with evidence that every member reported ready and not leaving at least
+     * [HealthSettings.leavingMargin] after it, since a stopping target may close its port before it says so.
+     */
+    override fun reportLeaving(group: GroupId, fence: Fence) {
+        shard(group).mark(GroupKey(group, fence), clock.monotonic())
+    }
+
+    /** Takes the summaries that [from] sent. Without an echo of this daemon they have no known age and do not count. */
+    fun accept(from: DaemonId, message: PeerMessage.GroupSummaries) {
+        val echoAt = message.echo?.let(echoes::sentAt) ?: return
+        if (from != peers.self.daemon) message.summaries.forEach { observe(it.evidence(echoAt)) }
+    }
+
+    /** Takes evidence of this daemon's own polls. */
+    fun observe(evidence: GroupEvidence) {
+        shard(evidence.group).observe(evidence)
+    }
+
+    /** The groups that this daemon holds, for operators. */
+    fun status(): List<GroupStatus> {
+        val now = clock.monotonic()
+        return held.current().all.map { held ->
+            val key = GroupKey(held.group.id, held.group.fence)
+            held.status(shard(key.group).evidence(key), now, settings.evidenceLimit)
+        }
+    }
+
+    /** Forgets evidence that is too old to matter. */
+    fun prune() {
+        val limit = clock.monotonic() - FORGET_AFTER
+        shards.forEach { it.prune(limit) }
+    }
+
+    /** The groups that this daemon holds. */
+    internal val heldGroups: HeldIndex get() = held.current()
+
+    /** Age of the newest evidence of [group] under its present fencing number; `null` without any. */
+    internal fun evidenceAge(group: Group): Duration? =
+        shard(group.id).evidence(GroupKey(group.id, group.fence))?.let { clock.monotonic() - it.at }
+
+    private fun candidate(group: Group, now: Duration): Candidate? {
+        val evidence = shard(group.id).favourable(GroupKey(group.id, group.fence))
+            ?.takeIf { now - it.at <= settings.evidenceLimit }
+            ?: return null
+        val address = group.leadingMember.address
+        return Candidate(
+            group.id,
+            group.fence,
+            address,
+            evidence.running,
+            evidence.queued,
+            evidence.slots,
+            now - evidence.at,
+        )
+    }
+
+    private fun shard(group: GroupId): HealthShard = shards[Math.floorMod(group.value.hashCode(), SHARDS)]
+
+    private companion object {
+        const val SHARDS = 16
+        val FORGET_AFTER = 60.seconds
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/HealthShard.kt
@@ -0,0 +1,45 @@
+package boragering.core
+
+import kotlin.time.Duration
+
+/** A group under one fencing number. */
+internal data class GroupKey(val group: GroupId, val fence: Fence)
+
+/** Evidence and marks of some groups, under one lock. */
+internal class HealthShard(private val leavingMargin: Duration) {
+    private val evidence = HashMap<GroupKey, GroupEvidence>()
+    private val leaving = HashMap<GroupKey, Duration>()
+
+    /** Keeps [newer] unless later evidence is known; of evidence of the same time the unfavourable one is kept. */
+    @Synchronized
+    fun observe(newer: GroupEvidence) {
+        val key = GroupKey(newer.group, newer.fence)
+        val known = evidence[key]
+        val replaces = known == null || newer.at > known.at || (newer.at == known.at && !newer.favourable)
+        if (!replaces) return
+        evidence[key] = newer
+        val marked = leaving[key]
+        if (marked != null && newer.favourable && newer.at >= marked + leavingMargin) leaving.remove(key)
+    }
+
+    /** Marks a group as leaving at [now]. */
+    @Synchronized
+    fun mark(key: GroupKey, now: Duration) {
+        leaving[key] = now
+    }
+
+    /** The newest evidence. */
+    @Synchronized
+    fun evidence(key: GroupKey): GroupEvidence? = evidence[key]
+
+    /** The newest evidence if it allows new requests and the group is not marked as leaving. */
+    @Synchronized
+    fun favourable(key: GroupKey): GroupEvidence? = evidence[key]?.takeIf { it.favourable && key !in leaving }
+
+    /** Forgets what is older than [limit]. A mark that old is forgotten only together with its evidence. */
+    @Synchronized
+    fun prune(limit: Duration) {
+        evidence.values.removeIf { it.at < limit }
+        leaving.entries.removeIf { it.value < limit && it.key !in evidence }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/HeldGroups.kt
@@ -0,0 +1,75 @@
+package boragering.core
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlin.time.Duration
+
+/** A group with the domain and the version of the division that states it. */
+internal data class HeldGroup(val domain: FabricDomain, val divisionVersion: Long, val group: Group) {
+    /** The operators' view of the group at [now]. */
+    fun status(evidence: GroupEvidence?, now: Duration, evidenceLimit: Duration): GroupStatus =
+        GroupStatus(
+            domain = domain,
+            divisionVersion = divisionVersion,
+            group = group,
+            whole = evidence != null && evidence.whole && now - evidence.at <= evidenceLimit,
+            evidenceAgeMilliseconds = evidence?.let { (now - it.at).inWholeMilliseconds },
+            running = evidence?.running ?: 0,
+            slots = evidence?.slots ?: 0,
+        )
+}
+
+/**
+ * The groups that this daemon holds, derived from the newest divisions and the live daemons. The ranking is computed
+ * again only for domains whose division changed, or when the live daemons changed, because candidates are looked up for
+ * every request.
+ */
+internal class HeldGroups(
+    private val peers: Peers,
+    private val divisions: DivisionSource,
+    private val holdersPerGroup: Int,
+) {
+    @Volatile
+    private var index = HeldIndex(null, null, emptyMap())
+
+    /** The index for the present divisions and daemons. */
+    fun current(): HeldIndex {
+        val known = index
+        val present = divisions.current()
+        val live = peers.live
+        val sameLive = known.live === live || known.live == live
+        if (sameLive && known.divisions === present) return known
+        val parts = present.mapValues { (domain, division) ->
+            known.parts[domain]?.takeIf { sameLive && it.division === division } ?: part(division, live)
+        }
+        return HeldIndex(present, live, parts).also { index = it }
+    }
+
+    private fun part(division: Division, live: List<Registration>): HeldPart {
+        val holdsAll = live.size <= holdersPerGroup
+        val held = division.groups.filter { group ->
+            holdsAll || peers.holders(group.id, holdersPerGroup).any { it.daemon == peers.self.daemon }
+        }
+        return HeldPart(division, held.map { HeldGroup(division.domain, division.version, it) })
+    }
+}
+
+/** One domain's part of the index. */
+internal class HeldPart(val division: Division, val held: List<HeldGroup>)
+
+/** Held groups by entry and by identity. */
+internal class HeldIndex(
+    val divisions: PersistentMap<FabricDomain, Division>?,
+    val live: PersistentList<Registration>?,
+    val parts: Map<FabricDomain, HeldPart>,
+) {
+    /** All held groups. */
+    val all: List<HeldGroup> = parts.values.flatMap { it.held }
+
+    /** Held active groups of each entry. */
+    val activeByEntry: Map<EntryName, List<HeldGroup>> =
+        all.filter { it.group.phase == GroupPhase.Active }.groupBy { it.group.entry }
+
+    /** Held groups by identity. */
+    val byGroup: Map<GroupId, HeldGroup> = all.associateBy { it.group.id }
+}
