--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/DomainPlanner.kt
@@ -0,0 +1,188 @@
+package boragering.core
+
+import arrow.core.Either
+import arrow.core.right
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.collections.immutable.toPersistentSet
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/** What the planning of all domains of this daemon shares in one round. */
+internal class FleetView(
+    val catalogue: Catalogue,
+    val list: InstanceList,
+    val fleet: Fleet,
+    val distribution: Distribution,
+)
+
+/** What planners use; [stamp] gives the hybrid logical clock's time. */
+internal class PlannerContext(
+    val ports: ControllerPorts,
+    val divisions: DivisionSource,
+    val book: ReportBook,
+    val writer: DivisionWriter,
+    val settings: PlanningSettings,
+) {
+    val clock: Clock get() = ports.clock
+}
+
+/**
+ * Plans one domain and carries out the plans. Its steps must not overlap. Without the store it changes nothing and
+ * sends no orders.
+ */
+internal class DomainPlanner(private val domain: FabricDomain, private val context: PlannerContext) {
+    private val clock = context.clock
+    private val timeline = context.ports.timeline
+    private val orders = OrderSender(context.ports.targets, clock, timeline)
+    private val findings = FindingBook()
+    private val draining = SinceMap<GroupId>()
+    private val surplus = SinceMap<EntryName>()
+    private val barred = SinceMap<InstanceId>()
+    private var stored: StoredDivision? = null
+    private var retryAt = Duration.ZERO
+
+    /** What the domain cannot repair. */
+    val currentFindings: PersistentList<HealthFinding> get() = findings.current
+
+    /** Plans once, writes the next division if there is one, and sends the orders that are due. */
+    suspend fun step(view: FleetView) {
+        val present = if (clock.monotonic() < retryAt) null else present()
+        if (present != null) planFrom(present, view)
+    }
+
+    private suspend fun planFrom(present: StoredDivision, view: FleetView) {
+        val now = clock.monotonic()
+        val announces = { key: FindingKey -> key.domain != null || domain == view.list.domains.minBy { it.value } }
+        val plan = plan(input(present.division, view, findings.notes(now, announces)))
+        findings.update(plan.findings, now)
+        val following = if (plan.next == null) present else write(present, plan, plan.next)
+        if (following == null) return
+        if (plan.next != null) findings.recorded(now, announces)
+        sendOrders(plan.orders, following)
+    }
+
+    private suspend fun present(): StoredDivision? {
+        val known = stored
+        val replica = context.divisions.current()[domain]
+        val outdated = known == null || (replica != null && replica.version > known.division.version)
+        val result = when {
+            known == null || outdated -> context.writer.read(domain)
+            clock.monotonic() - known.readAt > CONFIRM_INTERVAL -> context.writer.confirm(known)
+            else -> known.right()
+        }
+        return adopt(result)
+    }
+
+    private fun adopt(result: Either<StoreFailure, StoredDivision>): StoredDivision? =
+        result.fold({ failure ->
+            storeFailed(failure.reason)
+            null
+        }, ::adopt)
+
+    /** A store that was restored from an old copy must not make versions, and with them fencing numbers, go back. */
+    private fun adopt(found: StoredDivision): StoredDivision {
+        val known = context.divisions.current()[domain]?.version ?: 0
+        val division = found.division
+        if (division.version > known) context.ports.items.accept(DivisionDocument.item(division))
+        return found.copy(division = division.copy(version = maxOf(division.version, known))).also { stored = it }
+    }
+
+    private fun storeFailed(reason: String) {
+        timeline.record(TimelineEntry("division-store", "domain $domain: $reason"))
+        retryAt = clock.monotonic() + RETRY_PAUSE
+    }
+
+    private fun input(division: Division, view: FleetView, notes: PersistentList<PlanningNote>): PlanningInput {
+        val now = clock.monotonic()
+        val listed = view.list.of(domain)
+        val groupOf = division.groups.flatMap { group -> group.members.map { it.instance to group } }.toMap()
+        val observations = (listed.keys + groupOf.keys).associateWith {
+            context.book.observe(it, groupOf[it], it in listed, view.list.readAt)
+        }
+        draining.update(division.groups.filter { it.phase is GroupPhase.Draining }.map { it.id }, now)
+        surplus.update(view.catalogue.entries.keys.filter { view.distribution.surplus(it, domain) > 0 }, now)
+        barred.forget(now - BARRED_FOR)
+        return PlanningInput(
+            catalogue = view.catalogue,
+            division = division,
+            listed = listed,
+            fleet = view.fleet,
+            distribution = view.distribution,
+            observations = persistentMapOf<InstanceId, Observation>().putAll(observations),
+            drainingFor = draining.lasting(now).toPersistentMap(),
+            surplusFor = surplus.lasting(now).toPersistentMap(),
+            barred = barred.lasting(now).keys.toPersistentSet(),
+            notes = notes,
+            stamp = context.ports.stamp(),
+            settings = context.settings,
+        )
+    }
+
+    /** Writes [next]; the stored division when it is [next], otherwise `null`. */
+    private suspend fun write(present: StoredDivision, plan: Plan, next: Division): StoredDivision? {
+        val result = context.writer.write(present, next)
+        when (result) {
+            is WriteResult.Written -> written(result.stored, plan)
+            is WriteResult.Adopted -> adopt(result.stored)
+            is WriteResult.Unknown -> {
+                stored = null
+                storeFailed(result.reason)
+            }
+        }
+        return (result as? WriteResult.Written)?.stored
+    }
+
+    private fun written(result: StoredDivision, plan: Plan) {
+        stored = result
+        val now = clock.monotonic()
+        context.ports.items.accept(DivisionDocument.item(result.division))
+        plan.failedLoads.forEach { barred.start(it, now) }
+        plan.events.forEach {
+            timeline.record(TimelineEntry("division", "domain $domain: ${it.text}", group = it.group, entry = it.entry))
+        }
+    }
+
+    private suspend fun sendOrders(planned: List<InstanceOrder>, following: StoredDivision) {
+        val due = orders.due(planned)
+        if (due.isEmpty()) return
+        val old = clock.monotonic() - following.readAt > CONFIRM_BEFORE_ORDERS
+        val confirmed = if (old) adopt(context.writer.confirm(following)) else following
+        // Orders for a division that was replaced meanwhile are planned again in the next step.
+        if (confirmed?.division?.version == following.division.version) orders.send(due, confirmed.readAt)
+    }
+
+    private companion object {
+        val CONFIRM_INTERVAL = 10.seconds
+        val CONFIRM_BEFORE_ORDERS = 500.milliseconds
+        val RETRY_PAUSE = 2.seconds
+        val BARRED_FOR = 10.minutes
+    }
+}
+
+/** Since when each key has been present; used by one coroutine. */
+internal class SinceMap<K : Any> {
+    private val since = HashMap<K, Duration>()
+
+    /** Keeps the times of the keys that are still present, and adds new ones at [now]. */
+    fun update(present: Collection<K>, now: Duration) {
+        since.keys.retainAll(present.toSet())
+        present.forEach { start(it, now) }
+    }
+
+    /** Adds [key] at [now] unless it is present. */
+    fun start(key: K, now: Duration) {
+        since.putIfAbsent(key, now)
+    }
+
+    /** Removes the keys that were added before [limit]. */
+    fun forget(limit: Duration) {
+        since.values.removeIf { it < limit }
+    }
+
+    /** How long each key has been present at [now]. */
+    fun lasting(now: Duration): Map<K, Duration> = since.mapValues { now - it.value }
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/FindingBook.kt
@@ -0,0 +1,55 @@
+package boragering.core
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** The findings about one domain, with the time since which each lasts; used by one coroutine, read by others. */
+internal class FindingBook {
+    private val seen = HashMap<FindingKey, SeenFinding>()
+    private val noted = HashSet<FindingKey>()
+
+    /** The findings of the last update, with the time since which they last. */
+    @Volatile
+    var current: PersistentList<HealthFinding> = persistentListOf()
+        private set
+
+    /** Takes the findings of a planning step at [now]. */
+    fun update(findings: List<HealthFinding>, now: Duration) {
+        val keys = findings.associateBy { FindingKey(it) }
+        seen.keys.retainAll(keys.keys)
+        keys.forEach { (key, finding) -> seen.getOrPut(key) { SeenFinding(now, finding.sinceMilliseconds) } }
+        current = keys.map { (key, finding) -> finding.copy(sinceMilliseconds = seen.getValue(key).sinceMilliseconds) }
+            .toPersistentList()
+    }
+
+    /** Notes for the division's events about findings that last, and about those that are gone, of [relevant] ones. */
+    fun notes(now: Duration, relevant: (FindingKey) -> Boolean): PersistentList<PlanningNote> {
+        val lasting = lasting(now).filter { it !in noted && relevant(it) }
+            .map { PlanningNote(it.entry, "cannot be repaired: ${it.reason}") }
+        val gone = noted.filter { it !in seen }.map { PlanningNote(it.entry, "no longer the case: ${it.reason}") }
+        return (lasting + gone).toPersistentList()
+    }
+
+    /** States that the notes of [now] are recorded. */
+    fun recorded(now: Duration, relevant: (FindingKey) -> Boolean) {
+        noted.retainAll(seen.keys)
+        noted += lasting(now).filter(relevant)
+    }
+
+    private fun lasting(now: Duration): List<FindingKey> = seen.filterValues { now - it.at >= LASTING }.keys.toList()
+
+    private class SeenFinding(val at: Duration, val sinceMilliseconds: Long)
+
+    private companion object {
+        /** Shorter shortages, such as between a loss and its repair, are not worth a write. */
+        val LASTING = 10.seconds
+    }
+}
+
+/** What makes two findings the same one. */
+internal data class FindingKey(val domain: FabricDomain?, val entry: EntryName, val reason: String) {
+    constructor(finding: HealthFinding) : this(finding.domain, finding.entry, finding.reason)
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/GroupRepair.kt
@@ -0,0 +1,77 @@
+package boragering.core
+
+/**
+ * Replaces lost members by spare instances, or dissolves groups when there are not enough, so that the remaining
+ * members can complete others. Groups that lack the fewest members are repaired first, and those that lack the most
+ * are dissolved for them.
+ */
+internal fun PlanningDraft.repairGroups() {
+    groups
+        .filter { it.phase == GroupPhase.Active }
+        .mapNotNull(::brokenGroup)
+        .groupBy { it.pool }
+        .forEach { (pool, broken) -> repairPool(pool, broken) }
+}
+
+/** A group with the states of its lost members. [pool] is `null` when the entry is gone. */
+private class BrokenGroup(val group: Group, val entry: Entry?, val lost: Map<Member, MemberState.Lost>) {
+    val pool: String? get() = entry?.pool
+    val reason: String
+        get() = lost.entries.joinToString("; ") { (member, state) -> "${member.instance} ${state.reason}" }
+}
+
+private fun PlanningDraft.brokenGroup(group: Group): BrokenGroup? {
+    val lost = group.members.mapNotNull { member ->
+        (input.stateOf(group, member) as? MemberState.Lost)?.let { member to it }
+    }
+    return if (lost.isEmpty()) null else BrokenGroup(group, input.catalogue.entries[group.entry], lost.toMap())
+}
+
+private fun PlanningDraft.repairPool(pool: String?, broken: List<BrokenGroup>) {
+    val remaining = ArrayDeque(broken.sortedWith(compareBy({ it.lost.size }, { it.group.id.value })))
+    while (remaining.isNotEmpty()) {
+        val easiest = remaining.first()
+        val enough = pool != null && spares.count(pool) + returned(easiest) >= easiest.lost.size
+        when {
+            !enough -> dissolve(remaining.removeLast())
+            // The group waits for its turn to load; a later step repairs it.
+            !loadsAllowed(easiest.group) -> remaining.removeFirst()
+            else -> repair(remaining.removeFirst())
+        }
+    }
+}
+
+/** Lost members that came back and can be assigned again, such as restarted ones. */
+private fun PlanningDraft.returned(broken: BrokenGroup): Int =
+    broken.lost.count { (member, state) -> !state.loadFailed && spares.canReturn(member.instance) }
+
+private fun PlanningDraft.loadsAllowed(group: Group): Boolean =
+    group.model == null || loadsInProgress() < input.settings.loadsAtOnce
+
+private fun PlanningDraft.repair(broken: BrokenGroup) {
+    val group = broken.group
+    noteFailedLoads(broken)
+    val entry = broken.entry ?: return
+    spares.release(broken.lost.keys.map { it.instance })
+    val replacements = spares.ranked(entry.pool, entry).take(broken.lost.size).map { it.member }
+    val members = group.members - broken.lost.keys + replacements
+    val leader = if (members.any { it.instance == group.leader }) group.leader else members.first().instance
+    val repaired = group.copy(fence = Fence(version), members = members, leader = leader)
+    put(repaired, "repaired with ${replacements.joinToString { it.instance.value }}: ${broken.reason}")
+}
+
+private fun PlanningDraft.dissolve(broken: BrokenGroup) {
+    noteFailedLoads(broken)
+    remove(broken.group, "dissolved, no spare instances: ${broken.reason}")
+}
+
+/**
+ * Notes the members that did not become ready although others of their group did, so that they are not assigned again
+ * at once. When no member became ready, the fault is not theirs.
+ */
+private fun PlanningDraft.noteFailedLoads(broken: BrokenGroup) {
+    if (broken.lost.size == broken.group.members.size) return
+    val failed = broken.lost.filterValues { it.loadFailed }.keys.map { it.instance }
+    failedLoads += failed
+    spares.exclude(failed)
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/GroupRetirement.kt
@@ -0,0 +1,81 @@
+package boragering.core
+
+/** Removes draining groups whose leader has finished its requests, and those whose leader is lost. */
+internal fun PlanningDraft.removeDrainedGroups() {
+    groups.filter { it.phase is GroupPhase.Draining }.forEach { group ->
+        val drainedFor = input.drainingFor[group.id]
+        if (drainedFor != null && drainedFor >= input.settings.drainTime && hasFinished(group)) {
+            remove(group, "removed after draining")
+        }
+    }
+}
+
+private fun PlanningDraft.hasFinished(group: Group): Boolean {
+    val leader = group.leadingMember
+    val state = input.stateOf(group, leader)
+    val idle = input.recent(leader.instance) != null &&
+        input.observations.getValue(leader.instance).idleFor >= input.settings.idleTime
+    // A leader that answers but is unready for long may still be running requests, so only its idleness counts.
+    return idle || (state is MemberState.Lost && !state.loadFailed)
+}
+
+/** Begins to drain groups that are no longer wanted, or have a member that is leaving. */
+internal fun PlanningDraft.drainUnwantedGroups() {
+    groups.filter { it.phase == GroupPhase.Active }.forEach { group ->
+        val reason = immediateReason(group)
+        if (reason != null) drain(group, reason)
+    }
+    input.catalogue.entries.values.filterIsInstance<ModelEntry>().forEach { drainReplicas(it) }
+}
+
+private fun PlanningDraft.immediateReason(group: Group): String? {
+    val entry = input.catalogue.entries[group.entry]
+    val leaving = group.members.firstOrNull { input.leaving(it.instance) }
+    return when {
+        entry == null -> "the catalogue has no entry ${group.entry}"
+        (entry is ModelEntry) != (group.model != null) -> "the entry's kind changed"
+        inOtherPool(group, entry) -> "the entry's pool changed"
+        leaving != null -> "member ${leaving.instance} is leaving"
+        else -> null
+    }
+}
+
+private fun PlanningDraft.inOtherPool(group: Group, entry: Entry): Boolean =
+    group.members.any { member -> input.listed[member.instance]?.let { it.pool != entry.pool } ?: false }
+
+/**
+ * Drains the surplus replicas of [entry], and outdated ones one after the other: while spare instances suffice, an
+ * outdated replica is drained only when a current one has been formed and is whole, so that a change of version costs
+ * no downtime.
+ */
+private fun PlanningDraft.drainReplicas(entry: ModelEntry) {
+    val (current, outdated) = active(entry.name).partition { it.matches(entry) }
+    val surplus = settledSurplus(entry.name)
+    if (outdated.isEmpty()) {
+        leastUseful(current).take(surplus).forEach { drain(it, "more replicas than wanted") }
+    } else if (current.all(input::isWhole)) {
+        val step = if (spares.count(entry.pool) < entry.groupSize && !isDraining(entry.name)) 1 else 0
+        leastUseful(outdated).take(maxOf(surplus, step)).forEach { drain(it, "the entry's size or version changed") }
+    }
+}
+
+private fun PlanningDraft.settledSurplus(entry: EntryName): Int {
+    val lasted = input.surplusFor[entry] ?: return 0
+    val surplus = input.distribution.surplus(entry, input.division.domain)
+    return if (lasted >= input.settings.surplusDelay) surplus else 0
+}
+
+/** Groups that are not whole first, then those with the least work. */
+private fun PlanningDraft.leastUseful(groups: List<Group>): List<Group> =
+    groups.sortedWith(
+        compareBy<Group>({ input.isWhole(it) }, { input.recent(it.leader)?.running ?: 0 })
+            .thenByDescending { it.id.value },
+    )
+
+/** Whether a group of [entry] is draining in this domain. */
+internal fun PlanningDraft.isDraining(entry: EntryName): Boolean =
+    groups.any { it.entry == entry && it.phase is GroupPhase.Draining }
+
+private fun PlanningDraft.drain(group: Group, reason: String) {
+    put(group.copy(phase = GroupPhase.Draining(reason, input.stamp.milliseconds)), "draining: $reason")
+}
--- a/core/src/main/kotlin/boragering/core/HeldGroups.kt
+++ b/core/src/main/kotlin/boragering/core/HeldGroups.kt
@@ -72,4 +72,13 @@
 
     /** Held groups by identity. */
     val byGroup: Map<GroupId, HeldGroup> = all.associateBy { it.group.id }
+
+    private val domains = parts.filterValues { it.held.isNotEmpty() }.keys
+
+    @Volatile
+    private var planners: Set<DaemonId>? = null
+
+    /** The planners of the domains with held groups; [peers] must be those that the index was made of. */
+    fun planners(peers: Peers): Set<DaemonId> =
+        planners ?: domains.mapNotNullTo(HashSet()) { peers.planner(it)?.daemon }.also { planners = it }
 }
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/InstancePoller.kt
@@ -0,0 +1,48 @@
+package boragering.core
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.joinAll
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
+
+/** An instance to poll; [address] is `host:port`. */
+internal data class PollTarget(val instance: InstanceId, val address: String)
+
+/** Asks instances for their reports, a bounded number at once, and never one instance twice at once. */
+internal class InstancePoller(
+    private val targets: Targets,
+    private val book: ReportBook,
+    private val clock: Clock,
+    private val timeout: Duration,
+    atOnce: Int,
+) {
+    private val permits = Semaphore(atOnce)
+    private val inProgress = ConcurrentHashMap.newKeySet<InstanceId>()
+
+    /**
+     * Polls [asked] and returns when all have answered, or after [patience]; polls that are still waiting continue in
+     * [scope], so that one slow instance does not delay what is known of the others.
+     */
+    suspend fun poll(scope: CoroutineScope, asked: Collection<PollTarget>, patience: Duration) {
+        val polls = asked.filter { inProgress.add(it.instance) }.map { launchPoll(scope, it) }
+        withTimeoutOrNull(patience) { polls.joinAll() }
+    }
+
+    private fun launchPoll(scope: CoroutineScope, target: PollTarget): Job {
+        val poll = scope.launch { permits.withPermit { ask(target) } }
+        poll.invokeOnCompletion { inProgress.remove(target.instance) }
+        return poll
+    }
+
+    private suspend fun ask(target: PollTarget) {
+        // The time before the call, so that the age of the report is an upper bound.
+        val askedAt = clock.monotonic()
+        val report = withTimeoutOrNull(timeout) { targets.report(target.address).getOrNull() }
+        if (report != null && report.instance == target.instance) book.record(TimedReport(report, askedAt))
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/LiveListReader.kt
@@ -0,0 +1,53 @@
+package boragering.core
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentMap
+import kotlin.time.Duration
+
+/** The live list as read at [readAt] by the monotonic clock. */
+internal class InstanceList(val instances: PersistentMap<InstanceId, ListedInstance>, val readAt: Duration) {
+    private val byDomain = instances.values.groupBy { it.fabricDomain }
+        .mapValues { (_, part) -> part.associateBy { it.id }.toPersistentMap() }
+
+    /** All domains with listed instances. */
+    val domains: Set<FabricDomain> get() = byDomain.keys
+
+    /** The instances that are listed for [domain]. */
+    fun of(domain: FabricDomain): PersistentMap<InstanceId, ListedInstance> = byDomain[domain] ?: persistentMapOf()
+
+    /** Whether the list says that [instance] is leaving. */
+    fun leaving(instance: InstanceId): Boolean = instances[instance]?.state == ListedState.LEAVING
+}
+
+/**
+ * Reads the live list and keeps the last one while it cannot be read. An empty list after one that was not empty is
+ * taken as a fault of the platform, since otherwise one bad answer would dissolve every group.
+ */
+internal class LiveListReader(private val port: LiveList, private val clock: Clock, private val timeline: Timeline) {
+    private var failing = false
+
+    /** The last list that was read, `null` before the first one. */
+    @Volatile
+    var current: InstanceList? = null
+        private set
+
+    /** Reads the list once; called by one coroutine. */
+    suspend fun refresh() {
+        val at = clock.monotonic()
+        port.read().fold({ fail(it.reason) }) { listed ->
+            val known = current
+            if (listed.isEmpty() && known != null && known.instances.isNotEmpty()) {
+                fail("the list is empty")
+            } else {
+                failing = false
+                current = InstanceList(listed.associateBy { it.id }.toPersistentMap(), at)
+            }
+        }
+    }
+
+    private fun fail(reason: String) {
+        if (!failing) timeline.record(TimelineEntry("live-list-unavailable", reason))
+        failing = true
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/PlanningDraft.kt
@@ -0,0 +1,79 @@
+package boragering.core
+
+/** The state of one planning step while the rules are applied in order; used by one thread. */
+internal class PlanningDraft(val input: PlanningInput) {
+    private val present = input.division
+    private val groupsById = present.groups.associateByTo(LinkedHashMap()) { it.id }
+    private var formed = 0
+    private var unusable = present.unusable
+
+    /** Events of this step. */
+    val events = mutableListOf<DivisionEvent>()
+
+    /** Instances that this step leaves out because they did not become ready. */
+    val failedLoads = mutableListOf<InstanceId>()
+
+    /** Findings of this step. */
+    val findings = mutableListOf<HealthFinding>()
+
+    /** The instances that can be assigned. */
+    val spares = SpareInstances(input)
+
+    /**
+     * The version that this step writes. It is above every fencing number that an instance of the domain reports, so
+     * that orders are accepted even if the store was restored from an old copy.
+     */
+    val version: Long =
+        maxOf(present.version, input.listed.keys.maxOfOrNull { input.recent(it)?.fence?.value ?: 0 } ?: 0) + 1
+
+    /** The groups as changed so far. */
+    val groups: Collection<Group> get() = groupsById.values
+
+    /** Active groups of [entry]. */
+    fun active(entry: EntryName): List<Group> =
+        groups.filter { it.entry == entry && it.phase == GroupPhase.Active }
+
+    /** Replaces the group of the same identity, or adds it, and notes [event]. */
+    fun put(group: Group, event: String) {
+        groupsById[group.id] = group
+        spares.take(group.members.map { it.instance })
+        note(group, event)
+    }
+
+    /** Removes [group], notes [event], and makes its members available if they can be. */
+    fun remove(group: Group, event: String) {
+        groupsById.remove(group.id)
+        spares.release(group.members.map { it.instance })
+        note(group, event)
+    }
+
+    /** An identity for a new group; it is never used again in any domain. */
+    fun newId(entry: EntryName): GroupId = GroupId("$entry.${present.domain}.$version.${formed++}")
+
+    /** Records an event about [group]. */
+    fun note(group: Group?, text: String, entry: EntryName? = group?.entry) {
+        events += DivisionEvent(input.stamp, group?.id, entry, text)
+    }
+
+    /** States which listed instances other planners should not count on. */
+    fun replaceUnusable(instances: List<InstanceId>) {
+        unusable = instances
+    }
+
+    /** The division to write, `null` when nothing changed. */
+    fun next(): Division? {
+        val groups = groups.toList()
+        if (groups == present.groups && unusable == present.unusable && events.isEmpty()) return null
+        return Division(
+            present.domain,
+            version,
+            groups,
+            (present.events + events).takeLast(KEPT_EVENTS),
+            unusable,
+        )
+    }
+
+    private companion object {
+        const val KEPT_EVENTS = 50
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/PlanningFindings.kt
@@ -0,0 +1,66 @@
+package boragering.core
+
+/**
+ * States what the domain cannot repair. Wanted replicas that no domain can hold are stated by every planner, without a
+ * domain; their number of whole replicas is the number of active groups, because health is known per domain only.
+ */
+internal fun PlanningDraft.findShortages() {
+    input.catalogue.entries.values.filterIsInstance<ModelEntry>().forEach { entry ->
+        if (input.distribution.unplaced(entry.name) > 0) {
+            val active = input.fleet.replicas(entry.name).values.sumOf { it.total }
+            find(null, entry, active, "no domain has enough spare instances")
+        }
+        findDomainShortage(entry)
+    }
+    groups.forEach { group ->
+        val drainingFor = input.drainingFor[group.id]
+        val entry = input.catalogue.entries[group.entry] as? ModelEntry
+        if (entry != null && drainingFor != null && drainingFor >= input.settings.loadLimit) {
+            val whole = active(entry.name).count(input::isWhole)
+            find(input.division.domain, entry, whole, "group ${group.id} drains but does not finish its requests")
+        }
+    }
+}
+
+private fun PlanningDraft.findDomainShortage(entry: ModelEntry) {
+    val domain = input.division.domain
+    val groups = active(entry.name)
+    val missing = groups.size < input.distribution.share(entry.name, domain)
+    if (missing && spares.count(entry.pool) < entry.groupSize) {
+        find(domain, entry, groups.count(input::isWhole), "not enough usable spare instances")
+    }
+}
+
+private fun PlanningDraft.find(domain: FabricDomain?, entry: ModelEntry, whole: Int, reason: String) {
+    val wanted = domain?.let { input.distribution.share(entry.name, it) } ?: entry.replicas
+    findings += HealthFinding(domain, entry.name, wanted, whole, reason, input.stamp.milliseconds)
+}
+
+/**
+ * States the listed instances that are in no group and cannot be assigned. They are written with another change, or
+ * when the domain lacks replicas of its share, because only then do planners of other domains depend on it.
+ */
+internal fun PlanningDraft.stateUnusable() {
+    val members = groups.flatMapTo(HashSet()) { group -> group.members.map { it.instance } }
+    val unusable = input.listed.keys
+        .filter { it !in members && isUnusable(it) }
+        .sortedBy { it.value }
+    val lacking = input.catalogue.entries.values.filterIsInstance<ModelEntry>().any { entry ->
+        val share = input.distribution.share(entry.name, input.division.domain)
+        active(entry.name).size < share || input.distribution.unplaced(entry.name) > 0
+    }
+    if (lacking || events.isNotEmpty()) replaceUnusable(unusable)
+}
+
+private fun PlanningDraft.isUnusable(instance: InstanceId): Boolean {
+    val seen = input.observations[instance] ?: return false
+    val silent = seen.silentFor >= input.settings.lossLimit
+    // Between the evidence limit and the loss limit an instance keeps the state that it has.
+    val undecided = input.recent(instance) == null && instance in input.division.unusable
+    return silent || undecided || instance in input.barred || isUnassignable(instance)
+}
+
+private fun PlanningDraft.isUnassignable(instance: InstanceId): Boolean {
+    val report = input.recent(instance) ?: return false
+    return report.leaving || input.fleet.listedElsewhere(instance, report.incarnation, input.division.domain)
+}
--- a/core/src/main/kotlin/boragering/core/Registration.kt
+++ b/core/src/main/kotlin/boragering/core/Registration.kt
@@ -35,9 +35,11 @@
 fun Peers.ranked(key: String, count: Int): List<Registration> =
     Rendezvous.top(key, live, count) { it.daemon.value }
 
+/** The daemon that plans for [domain]. */
+fun Peers.planner(domain: FabricDomain): Registration? = ranked("planner/$domain", 1).firstOrNull()
+
 /** Whether this daemon plans for [domain]. */
-fun Peers.plans(domain: FabricDomain): Boolean =
-    ranked("planner/$domain", 1).firstOrNull()?.daemon == self.daemon
+fun Peers.plans(domain: FabricDomain): Boolean = planner(domain)?.daemon == self.daemon
 
 /** The daemons that hold [group] and send requests to it. */
 fun Peers.holders(group: GroupId, count: Int): List<Registration> = ranked("holder/$group", count)
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/SpareInstances.kt
@@ -0,0 +1,72 @@
+package boragering.core
+
+/** An instance that can be assigned, with its newest report. */
+internal class SpareInstance(val listed: ListedInstance, val report: InstanceReport) {
+    /** The instance as a member of a group. */
+    val member: Member get() = Member(listed.id, report.incarnation, listed.address)
+
+    /** Whether the instance already has the weights of [entry]. */
+    fun hasWeights(entry: Entry): Boolean =
+        entry is ModelEntry && report.model == entry.model && report.modelVersion == entry.modelVersion
+}
+
+/**
+ * The domain's instances that can be assigned: listed as live, recently reported, not leaving, in no group of this
+ * domain, nor, with the same incarnation, of another, and not still finishing requests after a release.
+ */
+internal class SpareInstances(private val input: PlanningInput) {
+    private val taken = input.division.groups.flatMapTo(HashSet()) { group -> group.members.map { it.instance } }
+    private val excluded = HashSet<InstanceId>()
+    private val byPool: MutableMap<String, MutableMap<InstanceId, SpareInstance>> = HashMap()
+
+    init {
+        input.listed.keys.filter { it !in taken }.forEach(::add)
+    }
+
+    /** Number of instances of [pool] that can be assigned. */
+    fun count(pool: String): Int = byPool[pool]?.size ?: 0
+
+    /** The instances of [pool] that can be assigned, in order of preference for [entry]. */
+    fun ranked(pool: String, entry: Entry): List<SpareInstance> =
+        byPool[pool]?.values.orEmpty()
+            .sortedWith(compareByDescending<SpareInstance> { it.hasWeights(entry) }.thenBy { it.listed.id.value })
+
+    /** Whether [instance], a member that is to be replaced, could be assigned again. */
+    fun canReturn(instance: InstanceId): Boolean = spare(instance) != null
+
+    /** States that [instances] must not be assigned in this step. */
+    fun exclude(instances: List<InstanceId>) {
+        excluded += instances
+    }
+
+    /** States that [instances] are members of a group. */
+    fun take(instances: List<InstanceId>) {
+        taken += instances
+        byPool.values.forEach { it.keys.removeAll(instances.toSet()) }
+    }
+
+    /** States that [instances] are no longer members of a group. */
+    fun release(instances: List<InstanceId>) {
+        taken -= instances.toSet()
+        instances.forEach(::add)
+    }
+
+    private fun add(instance: InstanceId) {
+        val spare = spare(instance) ?: return
+        byPool.getOrPut(spare.listed.pool) { LinkedHashMap() }[instance] = spare
+    }
+
+    private fun spare(instance: InstanceId): SpareInstance? {
+        val listed = input.listed[instance]
+        val report = input.recent(instance)
+        val known = listed != null && report != null
+        return if (known && available(listed, report)) SpareInstance(listed, report) else null
+    }
+
+    private fun available(listed: ListedInstance, report: InstanceReport): Boolean {
+        val finishing = report.phase == InstancePhase.DRAINING && report.running + report.queued > 0
+        val ruledOut = listed.id in input.barred || listed.id in excluded
+        val blocked = finishing || ruledOut || input.leaving(listed.id)
+        return !blocked && !input.fleet.listedElsewhere(listed.id, report.incarnation, listed.fabricDomain)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/SummarySender.kt
@@ -0,0 +1,48 @@
+package boragering.core
+
+/** Tells the holders of groups what this daemon's polls have shown, and sends the echoes that date such summaries. */
+internal class SummarySender(
+    private val ports: ControllerPorts,
+    private val state: ControllerState,
+    private val book: ReportBook,
+    private val holdersPerGroup: Int,
+) {
+    private val self get() = state.peers.self.daemon
+
+    /** Sends an echo to the planner of each domain in which this daemon holds groups. */
+    fun sendEchoes() {
+        val echo = state.echoes.next()
+        state.health.heldGroups.planners(state.peers)
+            .filter { it != self }
+            .forEach { ports.link.send(it, echo) }
+    }
+
+    /** Evaluates the groups of [domains], keeps the evidence, and sends each group's holders a summary. */
+    fun send(domains: Set<FabricDomain>, list: InstanceList?) {
+        // The echoes are noted before ages are computed, so that a pause in between makes summaries older, not younger.
+        val echoes = state.peers.live.associate { it.daemon to state.echoes.highest(it.daemon) }
+        val byHolder = HashMap<DaemonId, MutableList<GroupSummary>>()
+        domains.forEach { domain ->
+            state.divisions.current()[domain]?.groups.orEmpty().forEach { group ->
+                summarise(domain, group, list, byHolder)
+            }
+        }
+        byHolder.forEach { (holder, summaries) ->
+            echoes[holder]?.let { ports.link.send(holder, PeerMessage.GroupSummaries(it, summaries)) }
+        }
+    }
+
+    private fun summarise(
+        domain: FabricDomain,
+        group: Group,
+        list: InstanceList?,
+        byHolder: HashMap<DaemonId, MutableList<GroupSummary>>,
+    ) {
+        val evidence = group.evidence(book::report) { list?.leaving(it) ?: false } ?: return
+        state.health.observe(evidence)
+        val summary = evidence.summary(domain, ports.clock.monotonic())
+        state.peers.holders(group.id, holdersPerGroup)
+            .filter { it.daemon != self }
+            .forEach { byHolder.getOrPut(it.daemon) { ArrayList() } += summary }
+    }
+}
