--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/Dissemination.kt
@@ -0,0 +1,95 @@
+package boragering.core
+
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Passes items on between daemons: newer ones are sent to a few random peers for a few rounds (rumour mongering), and
+ * the versions of all items are compared with one random peer at a time (anti-entropy), which repairs what was lost.
+ *
+ * Small items are sent whole. Of larger ones only the version is announced, since a peer usually hears of a version
+ * several times and should receive the content once.
+ */
+class Dissemination(
+    private val items: ItemReplica,
+    private val peers: Peers,
+    private val link: PeerLink,
+    clock: Clock,
+    private val random: Random,
+) {
+    private val lock = ReentrantLock()
+    private val rumours = HashMap<String, Int>()
+    private val exchange = ItemExchange(items, link, clock)
+
+    init {
+        items.listen("") { item -> lock.withLock { rumours[item.key] = ROUNDS } }
+    }
+
+    /** Runs both loops until cancelled. */
+    suspend fun run(): Unit = coroutineScope {
+        launch { repeatEvery(ROUND_INTERVAL) { spread() } }
+        launch { repeatEvery(COMPARISON_INTERVAL) { compare() } }
+    }
+
+    /** One round of rumour mongering; each item known as new is sent to [FANOUT] random live peers. */
+    fun spread() {
+        val recipients = randomPeers(FANOUT)
+        if (recipients.isEmpty()) return
+        val newer = lock.withLock {
+            val keys = rumours.keys.toList()
+            rumours.replaceAll { _, rounds -> rounds - 1 }
+            rumours.values.removeIf { it <= 0 }
+            keys
+        }.mapNotNull(items::get)
+        recipients.forEach { exchange.offer(it, newer) }
+    }
+
+    /** Starts a comparison of all versions with one random live peer. */
+    fun compare() {
+        exchange.expire()
+        randomPeers(1).forEach { link.send(it, PeerMessage.DigestSummary(ItemDigest.summary(items.all("")))) }
+    }
+
+    /** Handles a message of another daemon; messages of other components are ignored. */
+    fun handle(from: DaemonId, message: PeerMessage) = exchange.handle(from, message)
+
+    private fun randomPeers(count: Int): List<DaemonId> {
+        val others = peers.live.map { it.daemon }.filter { it != peers.self.daemon }
+        return lock.withLock { others.shuffled(random) }.take(count)
+    }
+
+    private suspend fun repeatEvery(interval: Duration, action: () -> Unit) {
+        while (true) {
+            delay(lock.withLock { random.jittered(interval) })
+            action()
+        }
+    }
+
+    /** Constants of the protocol between daemons. */
+    companion object {
+        /** Number of peers that get a newer item in each round. */
+        const val FANOUT = 3
+
+        /** Rounds in which a daemon passes an item on after it learned of it. */
+        const val ROUNDS = 4
+
+        /** Time between rounds. */
+        val ROUND_INTERVAL = 200.milliseconds
+
+        /** Time between comparisons of versions with a random peer. */
+        val COMPARISON_INTERVAL = 2.seconds
+    }
+}
+
+/** [interval] multiplied by a random factor from 0.8 to 1.2, so that daemons do not act in step. */
+internal fun Random.jittered(interval: Duration): Duration = interval * (MINIMUM_FACTOR + nextDouble() * FACTOR_RANGE)
+
+private const val MINIMUM_FACTOR = 0.8
+private const val FACTOR_RANGE = 0.4
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/ItemDigest.kt
@@ -0,0 +1,35 @@
+package boragering.core
+
+import org.apache.commons.codec.digest.MurmurHash3
+import java.nio.ByteBuffer
+
+/**
+ * Hashes over the versions of items. Keys are spread over a fixed number of buckets, so that two daemons whose items
+ * differ in a few keys exchange the versions of a few buckets instead of all.
+ */
+object ItemDigest {
+    /** Number of buckets; all daemons use the same one. */
+    const val BUCKETS = 64
+
+    /** The bucket of [key]. */
+    fun bucket(key: String): Int = Math.floorMod(hash(key), BUCKETS.toLong()).toInt()
+
+    /** One hash for each bucket over the keys and versions of the [items] in it, independent of their order. */
+    fun buckets(items: Collection<Item>): List<Long> {
+        val hashes = LongArray(BUCKETS)
+        items.forEach { item ->
+            val bucket = bucket(item.key)
+            hashes[bucket] = hashes[bucket] xor hash("${item.key}\u0000${item.version}")
+        }
+        return hashes.asList()
+    }
+
+    /** One hash over the keys and versions of all [items], independent of their order. */
+    fun summary(items: Collection<Item>): Long {
+        val buffer = ByteBuffer.allocate(BUCKETS * Long.SIZE_BYTES)
+        buckets(items).forEach(buffer::putLong)
+        return MurmurHash3.hash128x64(buffer.array())[0]
+    }
+
+    private fun hash(text: String): Long = MurmurHash3.hash128x64(text.toByteArray())[0]
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/ItemExchange.kt
@@ -0,0 +1,131 @@
+package boragering.core
+
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** The answers to the messages with which daemons pass items on; see [Dissemination]. */
+internal class ItemExchange(
+    private val items: ItemReplica,
+    private val link: PeerLink,
+    private val clock: Clock,
+) {
+    private val lock = ReentrantLock()
+    private val requests = HashMap<String, SentRequest>()
+
+    fun handle(from: DaemonId, message: PeerMessage) {
+        when (message) {
+            is PeerMessage.Items -> take(from, message.items)
+            is PeerMessage.Announcement -> request(from, message.versions)
+            is PeerMessage.DigestSummary -> answer(from, message)
+            is PeerMessage.BucketDigest -> answer(from, message)
+            is PeerMessage.Digest -> answer(from, message)
+            is PeerMessage.ItemRequest -> sendItems(from, message.keys.mapNotNull(items::get))
+            else -> Unit
+        }
+    }
+
+    /** Takes items; a sender with an older version, for example a suspicion that was refuted, gets the newer one. */
+    private fun take(from: DaemonId, received: List<Item>) {
+        val newer = received.mapNotNull { item ->
+            items.accept(item)
+            lock.withLock { requests.remove(item.key) }
+            items.get(item.key)?.takeIf { it.version > item.version }
+        }
+        offer(from, newer)
+    }
+
+    /** Sends small items and announces the versions of larger ones. */
+    fun offer(to: DaemonId, newer: List<Item>) {
+        val (small, large) = newer.partition { it.content.length <= SMALL_CONTENT }
+        sendItems(to, small)
+        large.chunked(KEYS_PER_MESSAGE).forEach { part ->
+            link.send(to, PeerMessage.Announcement(part.associate { it.key to it.version }))
+        }
+    }
+
+    private fun answer(from: DaemonId, message: PeerMessage.DigestSummary) {
+        val all = items.all("")
+        if (ItemDigest.summary(all) != message.hash) link.send(from, PeerMessage.BucketDigest(ItemDigest.buckets(all)))
+    }
+
+    private fun answer(from: DaemonId, message: PeerMessage.BucketDigest) {
+        val all = items.all("")
+        val own = ItemDigest.buckets(all)
+        val different = own.indices.filter { own[it] != message.hashes.getOrNull(it) }
+        val versions = all.groupBy({ ItemDigest.bucket(it.key) }, { it.key to it.version })
+        batches(different) { versions[it].orEmpty().size }.forEach { buckets ->
+            link.send(from, PeerMessage.Digest(buckets.flatMap { versions[it].orEmpty() }.toMap(), buckets))
+        }
+    }
+
+    private fun answer(from: DaemonId, message: PeerMessage.Digest) {
+        val covered = message.buckets?.toSet()
+        val newer = items.all("").filter { item ->
+            (covered == null || ItemDigest.bucket(item.key) in covered) &&
+                item.version > (message.versions[item.key] ?: Long.MIN_VALUE)
+        }
+        sendItems(from, newer)
+        request(from, message.versions)
+    }
+
+    /** Asks for the newer ones of [versions], but not for one that was asked of another peer a moment ago. */
+    private fun request(from: DaemonId, versions: Map<String, Long>) {
+        val now = clock.monotonic()
+        val lacking = versions.filter { (key, version) -> version > (items.get(key)?.version ?: Long.MIN_VALUE) }
+        val due = lock.withLock {
+            lacking.filter { (key, version) ->
+                val sent = requests[key]
+                sent == null || sent.version < version || now - sent.at >= REQUEST_TIMEOUT
+            }.onEach { (key, version) -> requests[key] = SentRequest(version, now) }
+        }
+        due.keys.chunked(KEYS_PER_MESSAGE).forEach { link.send(from, PeerMessage.ItemRequest(it)) }
+    }
+
+    /** Sends [wanted] in messages of bounded size, and no more than [BURST]; the next comparison sends the rest. */
+    private fun sendItems(to: DaemonId, wanted: List<Item>) {
+        var total = 0
+        val sent = wanted.takeWhile { item ->
+            total += item.content.length
+            total <= BURST || total == item.content.length
+        }
+        batches(sent) { it.content.length + it.key.length }.forEach { link.send(to, PeerMessage.Items(it)) }
+    }
+
+    /** Drops requests that were not answered in time. */
+    fun expire() {
+        lock.withLock { requests.values.removeIf { clock.monotonic() - it.at >= REQUEST_TIMEOUT } }
+    }
+
+    private data class SentRequest(val version: Long, val at: Duration)
+
+    private companion object {
+        /** Time after which an item is asked of another peer. */
+        val REQUEST_TIMEOUT = 1.seconds
+
+        const val SMALL_CONTENT = 512
+        const val KEYS_PER_MESSAGE = 1_000
+        const val BURST = 4 * 1024 * 1024
+    }
+}
+
+/**
+ * Splits [elements] into lists whose sizes add up to at most 256 Ki units each. An element above that stands alone; a
+ * store value has at most 1 MB, so it still fits into a frame of 2 MiB.
+ */
+internal fun <T> batches(elements: List<T>, size: (T) -> Int): List<List<T>> {
+    val result = mutableListOf<MutableList<T>>()
+    var room = 0
+    elements.forEach { element ->
+        room -= size(element)
+        if (result.isEmpty() || room < 0) {
+            result += mutableListOf<T>()
+            room = BATCH_SIZE - size(element)
+        }
+        result.last() += element
+    }
+    return result
+}
+
+private const val BATCH_SIZE = 256 * 1024
--- a/core/src/main/kotlin/boragering/core/PeerMessage.kt
+++ b/core/src/main/kotlin/boragering/core/PeerMessage.kt
@@ -26,10 +26,28 @@
     @SerialName("items")
     data class Items(val items: List<Item>) : PeerMessage
 
-    /** States the versions that the sender knows, so that the recipient sends what is newer and asks for the rest. */
+    /**
+     * States the versions that the sender knows of all keys in [buckets] (see [ItemDigest]; `null` means all), so that
+     * the recipient sends what is newer and asks for the rest.
+     */
     @Serializable
     @SerialName("digest")
-    data class Digest(val versions: Map<String, Long>) : PeerMessage
+    data class Digest(val versions: Map<String, Long>, val buckets: List<Int>? = null) : PeerMessage
+
+    /** States one hash over the versions of all keys; a recipient with another hash answers with [BucketDigest]. */
+    @Serializable
+    @SerialName("digest-summary")
+    data class DigestSummary(val hash: Long) : PeerMessage
+
+    /** States one hash for each bucket of keys; the recipient answers with the [Digest] of the buckets that differ. */
+    @Serializable
+    @SerialName("bucket-digest")
+    data class BucketDigest(val hashes: List<Long>) : PeerMessage
+
+    /** Names versions of items that are too large to be sent unasked; the recipient asks for those it lacks. */
+    @Serializable
+    @SerialName("announcement")
+    data class Announcement(val versions: Map<String, Long>) : PeerMessage
 
     /** Asks for items. */
     @Serializable
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/PeerProtocol.kt
@@ -0,0 +1,152 @@
+package boragering.core
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.apache.commons.codec.digest.HmacAlgorithms
+import org.apache.commons.codec.digest.HmacUtils
+import java.security.MessageDigest
+
+/** A message of the handshake that starts each link between daemons. */
+@Serializable
+sealed interface HandshakeMessage {
+    /** The first message in each direction. [nonce] is random and used once. */
+    @Serializable
+    @SerialName("hello")
+    data class Hello(val protocolVersion: Int, val daemon: DaemonId, val nonce: String) : HandshakeMessage
+
+    /** Proves knowledge of the shared secret; [code] is hexadecimal. */
+    @Serializable
+    @SerialName("proof")
+    data class Proof(val code: String) : HandshakeMessage
+}
+
+/** The side of a link; it is part of the proof, so that a proof cannot be sent back to the one who made it. */
+enum class LinkRole {
+    /** The side that opened the connection. */
+    CONNECTOR,
+
+    /** The side that listened. */
+    ACCEPTOR,
+}
+
+/** What a side of a link has to do after a message of the handshake. */
+sealed interface HandshakeStep {
+    /** Send [proof] and wait for the other side's. */
+    data class Send(val proof: HandshakeMessage.Proof) : HandshakeStep
+
+    /** Wait for the other side's proof. */
+    data object Wait : HandshakeStep
+
+    /** The link to [peer] is established; [proof] is still to be sent if it is not `null`. */
+    data class Established(val peer: DaemonId, val proof: HandshakeMessage.Proof?) : HandshakeStep
+}
+
+/** Why a handshake failed; the link is closed. */
+enum class HandshakeFailure {
+    /** The other side speaks another version of the protocol. */
+    VERSION_MISMATCH,
+
+    /** The other side states this daemon's own id. */
+    OWN_ID,
+
+    /** The other side sent this daemon's nonce back, or a nonce that is too short. */
+    INVALID_NONCE,
+
+    /** Another daemon answers at this address than expected. */
+    UNEXPECTED_DAEMON,
+
+    /** The message does not come next in the handshake. */
+    OUT_OF_ORDER,
+
+    /** The proof was made with another secret, another nonce or for another side. */
+    INVALID_PROOF,
+}
+
+/** Settings of one side's handshakes. */
+class HandshakeIdentity(val daemon: DaemonId, secret: ByteArray) {
+    internal val codes = HmacUtils(HmacAlgorithms.HMAC_SHA_256, secret)
+}
+
+/**
+ * One side of the handshake of one link. The connector proves the secret first; the acceptor answers with its own proof
+ * only after a valid one, so that it gives nothing to a connector without the secret. Not safe for use by several
+ * threads.
+ *
+ * @param nonce hexadecimal, random, at least 32 characters, used for this link only.
+ * @param expected the daemon that should answer; `null` for an acceptor or an address whose daemon is not known.
+ */
+class PeerProtocol(
+    private val identity: HandshakeIdentity,
+    private val role: LinkRole,
+    nonce: String,
+    private val expected: DaemonId? = null,
+) {
+    /** The message to send first. */
+    val hello = HandshakeMessage.Hello(VERSION, identity.daemon, nonce)
+
+    private var remote: HandshakeMessage.Hello? = null
+    private var finished = false
+
+    init {
+        require(nonce.length >= MINIMUM_NONCE) { "nonce: at least $MINIMUM_NONCE characters expected" }
+    }
+
+    /** Handles the next message from the other side. After a failure the link must be closed. */
+    fun receive(message: HandshakeMessage): Either<HandshakeFailure, HandshakeStep> {
+        val other = remote
+        return when {
+            finished -> HandshakeFailure.OUT_OF_ORDER.left()
+            message is HandshakeMessage.Hello && other == null -> greet(message)
+            message is HandshakeMessage.Proof && other != null -> verify(message, other)
+            else -> HandshakeFailure.OUT_OF_ORDER.left()
+        }.onLeft { finished = true }
+    }
+
+    private fun greet(message: HandshakeMessage.Hello): Either<HandshakeFailure, HandshakeStep> {
+        val failure = when {
+            message.protocolVersion != VERSION -> HandshakeFailure.VERSION_MISMATCH
+            message.daemon == identity.daemon -> HandshakeFailure.OWN_ID
+            message.nonce.length < MINIMUM_NONCE -> HandshakeFailure.INVALID_NONCE
+            message.nonce == hello.nonce -> HandshakeFailure.INVALID_NONCE
+            expected != null && message.daemon != expected -> HandshakeFailure.UNEXPECTED_DAEMON
+            else -> null
+        }
+        remote = message
+        val step = if (role == LinkRole.CONNECTOR) HandshakeStep.Send(proof(role, message)) else HandshakeStep.Wait
+        return failure?.left() ?: step.right()
+    }
+
+    private fun verify(
+        message: HandshakeMessage.Proof,
+        other: HandshakeMessage.Hello,
+    ): Either<HandshakeFailure, HandshakeStep> {
+        val otherRole = LinkRole.entries.first { it != role }
+        val valid = MessageDigest.isEqual(proof(otherRole, other).code.toByteArray(), message.code.toByteArray())
+        finished = true
+        val answer = if (role == LinkRole.ACCEPTOR) proof(role, other) else null
+        return if (valid) {
+            HandshakeStep.Established(other.daemon, answer).right()
+        } else {
+            HandshakeFailure.INVALID_PROOF.left()
+        }
+    }
+
+    private fun proof(by: LinkRole, other: HandshakeMessage.Hello): HandshakeMessage.Proof {
+        val sides = if (role == LinkRole.CONNECTOR) listOf(hello, other) else listOf(other, hello)
+        val fields = listOf(by.name) + sides.flatMap { listOf(it.daemon.value, it.nonce) }
+        // The lengths keep two different lists of fields from being the same text.
+        val text = fields.joinToString("") { "${it.length}:$it" }
+        return HandshakeMessage.Proof(identity.codes.hmacHex(text))
+    }
+
+    /** Constants of the handshake. */
+    companion object {
+        /** The version of the protocol between daemons. */
+        const val VERSION = 1
+
+        private const val MINIMUM_NONCE = 32
+    }
+}
