Add request execution, claims, admission and target selection

The daemon needs a RequestService. RequestExecutor looks up entry and route, admits the request, chooses a target, claims non-repeatable requests in the store, sends through TargetCalls and reports the true outcome.

Admission comes before the claim: a request that is turned away by a rate limit or a full queue then costs no store write, and "not run" is certain without one. Claiming first was ruled out because every rejected request would cost two writes of a store that takes several hundred a second.

Claims are group-committed per shard by a coroutine of the ledger's own scope, so that a caller that goes away does not interrupt a write.

--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/ClaimLedger.kt
@@ -0,0 +1,134 @@
+package boragering.core
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.commons.codec.binary.Base64
+import org.apache.commons.codec.digest.MurmurHash3
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+
+/**
+ * The record of non-repeatable requests in the store, which lets each of them run at most once.
+ *
+ * [scope] runs the writes, so that a caller that goes away does not interrupt one; it must live until the daemon's
+ * last request has ended. All daemons must use the same number of [shards].
+ */
+class ClaimLedger(ports: RequestPorts, scope: CoroutineScope, private val shards: Int = DEFAULT_SHARDS) {
+    private val self = ports.peers.self.daemon
+    private val clock = ports.clock
+    private val random = SharedRandom(ports.random)
+    private val context = ClaimContext(ports.store, clock, random, scope, ports.metrics)
+    private val documents = List(shards) { ClaimShard("$KEY_PREFIX$it", context) }
+
+    /** Claims [request] for this daemon; nothing may be sent unless the result is [Opened.Held]. */
+    internal suspend fun open(entry: Entry, request: CallerRequest, key: String, within: Duration): Opened {
+        val refusal = keyProblem(key, entry.claimRetention)
+        return if (refusal != null) Opened.Refused(refusal) else write(claim(entry, request, key), within)
+    }
+
+    /** Records how the claimed request ended. Returns whether it is certain that this is recorded. */
+    internal suspend fun close(claim: Claim, state: ClaimState, within: Duration): Boolean =
+        shard(claim).submit(ClaimOperation.Close(claim, state), within) == ClaimResult.Written
+
+    /** Records how the claimed request ended, in the background. */
+    internal fun closeLater(claim: Claim, state: ClaimState) =
+        shard(claim).submitLater(ClaimOperation.Close(claim, state))
+
+    /** Waits up to [within] until everything is written; for use after the last request has ended. */
+    suspend fun drain(within: Duration): Boolean = withTimeoutOrNull(within) {
+        while (!documents.all { it.idle }) delay(DRAIN_INTERVAL)
+    } != null
+
+    private suspend fun write(claim: Claim, within: Duration): Opened =
+        when (val result = shard(claim).submit(ClaimOperation.Open(claim), within)) {
+            ClaimResult.Written -> Opened.Held(claim)
+            ClaimResult.Full -> Opened.Refused(Problems.claimsFull())
+            is ClaimResult.Taken -> taken(claim, result.claim)
+            is ClaimResult.NotWritten -> Opened.Refused(
+                Problems.storeUnavailable("the request could not be claimed: ${result.reason}", Outcome.NOT_RUN),
+            )
+            is ClaimResult.Uncertain -> Opened.Refused(
+                Problems.storeUnavailable("the request may have been claimed: ${result.reason}", Outcome.UNKNOWN),
+            )
+        }
+
+    private fun taken(claim: Claim, present: Claim): Opened {
+        val state = present.state
+        return when {
+            present.fingerprint != claim.fingerprint -> Opened.Refused(Problems.keyReused())
+            state is ClaimState.Finished && state.body != null -> Opened.Recorded(state)
+            state is ClaimState.Finished -> Opened.Refused(Problems.alreadyRan(state.status))
+            state is ClaimState.Unknown -> Opened.Refused(Problems.outcomeUnknown(state.reason))
+            else -> Opened.Refused(Problems.inProgress())
+        }
+    }
+
+    private fun claim(entry: Entry, request: CallerRequest, key: String): Claim {
+        val now = clock.wallMilliseconds()
+        return Claim(
+            identity = ClaimDigests.identity(request, key),
+            fingerprint = ClaimDigests.fingerprint(request),
+            token = Base64.encodeBase64URLSafeString(random.nextBytes(TOKEN_BYTES)),
+            daemon = self,
+            writtenAt = now,
+            expiresAt = now + (entry.claimRetention + CLOCK_MARGIN).inWholeMilliseconds,
+        )
+    }
+
+    /**
+     * A key that carries its own creation time is refused once its claim may have been removed. One from the future
+     * would outlive its claim.
+     */
+    private fun keyProblem(key: String, retention: Duration): Problem? {
+        val age = KeyTime.milliseconds(key)?.let { clock.wallMilliseconds() - it }
+        return when {
+            age == null -> null
+            age > (retention - CLOCK_MARGIN).inWholeMilliseconds -> Problems.keyExpired()
+            age < -CLOCK_MARGIN.inWholeMilliseconds ->
+                Problems.invalid("the Idempotency-Key's creation time is in the future")
+            else -> null
+        }
+    }
+
+    private fun shard(claim: Claim): ClaimShard =
+        documents[Math.floorMod(MurmurHash3.hash32x86(claim.identity.toByteArray()), shards)]
+
+    companion object {
+        /** Prefix of the store keys of all claims. */
+        const val KEY_PREFIX = "boragering/claims/"
+
+        /** Number of documents that claims are spread over. */
+        const val DEFAULT_SHARDS = 64
+
+        /** Wall clocks of daemons and callers may differ by this much. */
+        private val CLOCK_MARGIN = 5.minutes
+        private val DRAIN_INTERVAL = 20.milliseconds
+        private const val TOKEN_BYTES = 16
+    }
+}
+
+/** Result of claiming a request. */
+internal sealed interface Opened {
+    /** The request may be sent. */
+    data class Held(val claim: Claim) : Opened
+
+    /** The request ran before, and its answer is known. */
+    data class Recorded(val finished: ClaimState.Finished) : Opened
+
+    /** The request must not be sent. */
+    data class Refused(val problem: Problem) : Opened
+}
+
+/** Reads the creation time out of keys. */
+internal object KeyTime {
+    /** Milliseconds since the Unix epoch when [key] is a UUID of version 7, otherwise `null`. */
+    fun milliseconds(key: String): Long? = UUID_7.matchEntire(key.trim())?.let { match ->
+        (match.groupValues[1] + match.groupValues[2]).toLong(HEXADECIMAL)
+    }
+
+    private val UUID_7 =
+        Regex("([0-9a-f]{8})-([0-9a-f]{4})-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}", RegexOption.IGNORE_CASE)
+    private const val HEXADECIMAL = 16
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/ClaimOperation.kt
@@ -0,0 +1,127 @@
+package boragering.core
+
+import kotlinx.collections.immutable.PersistentMap
+
+/**
+ * A change to one claim. Applying an operation again to a document that already contains it changes nothing, so a
+ * write whose response was lost can be repeated.
+ */
+internal sealed interface ClaimOperation {
+    /** Writes a new pending claim. */
+    data class Open(val claim: Claim) : ClaimOperation
+
+    /** Gives the claim that this attempt wrote its final state. */
+    data class Close(val claim: Claim, val state: ClaimState) : ClaimOperation
+}
+
+/** What became of an operation. */
+internal sealed interface ClaimResult {
+    /** The document holds what the operation wants. */
+    data object Written : ClaimResult
+
+    /** Another request holds the key; [claim] is its record. */
+    data class Taken(val claim: Claim) : ClaimResult
+
+    /** The shard has no room for another claim. */
+    data object Full : ClaimResult
+
+    /** It is certain that nothing was written, and that nothing will be. */
+    data class NotWritten(val reason: String) : ClaimResult
+
+    /** The operation may have been written, or may still be. */
+    data class Uncertain(val reason: String) : ClaimResult
+}
+
+/** Applies operations to the claims of a shard. */
+internal class ClaimEditor(private var claims: PersistentMap<String, Claim>, private val now: Long) {
+    private var size = claims.values.sumOf { it.encodedSize }
+
+    /** Whether an operation changed the claims. */
+    var changed = false
+        private set
+
+    /** The claims after all operations; expired ones are removed when anything else changed. */
+    fun result(): PersistentMap<String, Claim> {
+        val expired = claims.values.filter { it.expiresAt < now }.map { it.identity }
+        return if (changed) expired.fold(claims) { rest, identity -> rest.remove(identity) } else claims
+    }
+
+    /** Applies [operation]. */
+    fun apply(operation: ClaimOperation): ClaimResult = when (operation) {
+        is ClaimOperation.Open -> open(operation.claim)
+        is ClaimOperation.Close -> close(operation.claim, operation.state)
+    }
+
+    private fun open(claim: Claim): ClaimResult {
+        val present = claims[claim.identity]?.takeIf { it.expiresAt >= now }
+        return when {
+            present == null || reclaimable(present, claim) -> insert(claim)
+            present.token == claim.token -> ClaimResult.Written
+            else -> ClaimResult.Taken(present)
+        }
+    }
+
+    private fun reclaimable(present: Claim, claim: Claim): Boolean =
+        present.state == ClaimState.NotRun && present.token != claim.token && present.fingerprint == claim.fingerprint
+
+    private fun insert(claim: Claim): ClaimResult {
+        if (size + claim.encodedSize > SIZE_FOR_NEW_CLAIMS) makeRoom(claim.encodedSize)
+        if (size + claim.encodedSize > SIZE_FOR_NEW_CLAIMS) return ClaimResult.Full
+        put(claim)
+        return ClaimResult.Written
+    }
+
+    /** Removes expired claims, then the kept bodies of the oldest finished requests. */
+    private fun makeRoom(wanted: Int) {
+        claims.values.filter { it.expiresAt < now }.forEach(::remove)
+        val kept = claims.values.filter { (it.state as? ClaimState.Finished)?.body != null }.sortedBy { it.writtenAt }
+        kept.asSequence().takeWhile { size + wanted > SIZE_FOR_NEW_CLAIMS }.forEach { claim ->
+            put(claim.copy(state = (claim.state as ClaimState.Finished).copy(body = null)))
+        }
+    }
+
+    /**
+     * A claim that is absent was never written, or a delayed write may still bring it; writing its final state then
+     * moves the document's revision, after which that write can no longer take effect.
+     */
+    private fun close(claim: Claim, state: ClaimState): ClaimResult {
+        val present = claims[claim.identity]
+        val missing = present == null || (present.state == ClaimState.NotRun && present.token != claim.token)
+        when {
+            missing -> put(closed(claim, state))
+            present?.token == claim.token && present.state == ClaimState.Pending -> put(closed(claim, state))
+        }
+        return ClaimResult.Written
+    }
+
+    private fun closed(claim: Claim, state: ClaimState): Claim {
+        val bodyFits = state !is ClaimState.Finished || size + state.variableSize <= SIZE_FOR_BODIES
+        val kept = if (bodyFits) state else (state as ClaimState.Finished).copy(body = null)
+        val expiresAt = if (state == ClaimState.NotRun) now + NOT_RUN_KEPT_MILLISECONDS else claim.expiresAt
+        return claim.copy(state = kept, expiresAt = minOf(expiresAt, claim.expiresAt))
+    }
+
+    private fun put(claim: Claim) {
+        claims[claim.identity]?.let { size -= it.encodedSize }
+        claims = claims.put(claim.identity, claim)
+        size += claim.encodedSize
+        changed = true
+    }
+
+    private fun remove(claim: Claim) {
+        claims = claims.remove(claim.identity)
+        size -= claim.encodedSize
+        changed = true
+    }
+
+    companion object {
+        /** The store takes values up to 1 MB; closing claims needs room beyond this. */
+        const val SIZE_FOR_NEW_CLAIMS = 600 * 1024
+
+        /** Bodies are kept only up to this size of the document. */
+        const val SIZE_FOR_BODIES = 750 * 1024
+
+        /** A claim closed as not run can be claimed again at once, so its record is only of use for a short time. */
+        private const val NOT_RUN_KEPT_MILLISECONDS = 600_000L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/ClaimShard.kt
@@ -0,0 +1,174 @@
+package boragering.core
+
+import arrow.core.Either
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What all shards of the claims use. */
+internal data class ClaimContext(
+    val store: Store,
+    val clock: Clock,
+    val random: Random,
+    val scope: CoroutineScope,
+    val metrics: RequestMetrics,
+)
+
+/**
+ * One document of claims. At most one write is in progress; operations that arrive meanwhile share the next one.
+ *
+ * Every write is a compare-and-swap on the document's revision. A write whose response was lost may still take effect
+ * later, until the revision has moved; so an operation is only reported as written or refused after a write at the same
+ * revision succeeded, or after a read showed a document that already holds the operation.
+ */
+internal class ClaimShard(private val key: String, private val context: ClaimContext) {
+    private val lock = Any()
+    private val waiting = ArrayDeque<SubmittedOperation>()
+    private val arrived = Channel<Unit>(Channel.CONFLATED)
+    private var writing = false
+
+    /** Operations that were given up without a certain result; they are part of each write until one succeeds. */
+    private var unsettled = listOf<ClaimOperation>()
+
+    /** The newest known document; used by the writer only. */
+    private var known: StoredClaims? = null
+
+    /** Applies [operation] and waits up to [within] for the result. */
+    suspend fun submit(operation: ClaimOperation, within: Duration): ClaimResult {
+        val submitted = SubmittedOperation(operation)
+        enqueue(submitted)
+        var result: ClaimResult? = null
+        try {
+            result = withTimeoutOrNull(within) { submitted.result.await() }
+        } finally {
+            if (result == null) result = abandon(submitted)
+        }
+        return checkNotNull(result)
+    }
+
+    /** Applies [operation] in the background. */
+    fun submitLater(operation: ClaimOperation) = enqueue(SubmittedOperation(operation))
+
+    /** Whether nothing waits to be written. */
+    val idle: Boolean get() = synchronized(lock) { !writing }
+
+    private fun enqueue(submitted: SubmittedOperation) {
+        val start = synchronized(lock) {
+            waiting.addLast(submitted)
+            !writing.also { writing = true }
+        }
+        if (start) context.scope.launch { writeUntilEmpty() } else arrived.trySend(Unit)
+    }
+
+    /** Stops waiting for [submitted]; an open claim whose write is under way is closed as not run afterwards. */
+    private fun abandon(submitted: SubmittedOperation): ClaimResult = synchronized(lock) {
+        when {
+            submitted.final != null -> checkNotNull(submitted.final)
+            submitted.operation is ClaimOperation.Open && waiting.remove(submitted) ->
+                ClaimResult.NotWritten("the shard's writes took too long")
+            else -> ClaimResult.Uncertain("the write did not end in time").also { submitted.abandoned = true }
+        }
+    }
+
+    private suspend fun writeUntilEmpty() {
+        var failures = 0
+        var batch = nextBatch()
+        while (batch != null) {
+            if (batch.isEmpty()) {
+                withTimeoutOrNull(SETTLE_PAUSES.pause(failures + 1, context.random)) { arrived.receive() }
+                batch = nextBatch().orEmpty()
+            }
+            failures = if (write(batch)) 0 else failures + 1
+            batch = nextBatch()
+        }
+    }
+
+    /** The next operations to write; empty when only unsettled ones remain, `null` when there is nothing to do. */
+    private fun nextBatch(): List<SubmittedOperation>? = synchronized(lock) {
+        writing = waiting.isNotEmpty() || unsettled.isNotEmpty()
+        val batch = waiting.take(MAXIMUM_BATCH).also { taken -> repeat(taken.size) { waiting.removeFirst() } }
+        batch.takeIf { writing }
+    }
+
+    /** Writes [batch] and the unsettled operations; returns whether they were written. */
+    private suspend fun write(batch: List<SubmittedOperation>): Boolean {
+        val attempt = ClaimWrite(batch, synchronized(lock) { unsettled })
+        while (!attempt.ended) {
+            if (attempt.failures > 0) delay(PAUSES.pause(attempt.failures, context.random))
+            tryOnce(attempt)
+            complete(attempt.takeRefused())
+        }
+        synchronized(lock) { if (attempt.settled) unsettled = unsettled.drop(attempt.unsettled.size) }
+        complete(attempt.batch.zip(attempt.results))
+        return attempt.settled
+    }
+
+    private suspend fun tryOnce(attempt: ClaimWrite) {
+        val cached = known
+        val base = cached ?: attempt.read(context.store.get(key)) ?: return
+        val editor = ClaimEditor(base.claims, context.clock.wallMilliseconds())
+        attempt.unsettled.forEach(editor::apply)
+        val results = attempt.batch.map { editor.apply(it.operation) }
+        when {
+            editor.changed -> swap(attempt, base, editor.result(), results)
+            // Another daemon may have changed the document since it was cached, so a refusal needs a fresh read.
+            cached != null -> known = null
+            else -> attempt.succeed(results)
+        }
+    }
+
+    private suspend fun swap(
+        attempt: ClaimWrite,
+        base: StoredClaims,
+        claims: PersistentMap<String, Claim>,
+        results: List<ClaimResult>,
+    ) {
+        known = null
+        when (val answer = context.store.compareAndSwap(key, base.revision, ClaimCodec.encode(claims))) {
+            is Either.Left -> attempt.failed(answer.value)
+            is Either.Right -> when (val outcome = answer.value) {
+                is SwapOutcome.Conflict -> {
+                    known = ClaimCodec.decode(outcome.current)
+                    attempt.conflict()
+                }
+                is SwapOutcome.Swapped -> {
+                    known = StoredClaims(claims, outcome.revision)
+                    context.metrics.claimsWritten(attempt.batch.size)
+                    attempt.succeed(results)
+                }
+            }
+        }
+    }
+
+    private fun complete(results: List<Pair<SubmittedOperation, ClaimResult>>) = synchronized(lock) {
+        results.forEach { (submitted, result) ->
+            val mayStand = result is ClaimResult.Uncertain || (submitted.abandoned && result == ClaimResult.Written)
+            when (val operation = submitted.operation) {
+                is ClaimOperation.Open ->
+                    if (mayStand) unsettled = unsettled + ClaimOperation.Close(operation.claim, ClaimState.NotRun)
+                is ClaimOperation.Close -> if (result != ClaimResult.Written) unsettled = unsettled + operation
+            }
+            submitted.final = result
+            submitted.result.complete(result)
+        }
+        unsettled = unsettled.takeLast(MAXIMUM_UNSETTLED)
+    }
+
+    private companion object {
+        val PAUSES = Backoff(20.milliseconds, 500.milliseconds)
+
+        /** Pauses before operations without a certain result are written once more. */
+        val SETTLE_PAUSES = Backoff(2.seconds, 30.seconds)
+
+        /** Operations in one write; more would delay the first ones. */
+        const val MAXIMUM_BATCH = 256
+        const val MAXIMUM_UNSETTLED = 1_000
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/EntryAdmission.kt
@@ -0,0 +1,91 @@
+package boragering.core
+
+import arrow.core.Either
+import arrow.core.left
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration
+
+/** What the admission of all entries uses. */
+internal data class AdmissionContext(
+    val ports: RequestPorts,
+    val random: SharedRandom,
+    val selection: ReplicaSelection,
+)
+
+/** Numbers of one entry's requests on this daemon. */
+data class AdmissionCounts(val queued: Int, val inFlight: Int)
+
+/** Admission of one entry's requests: rate limits, queue and slots, under one lock. */
+internal class EntryAdmission(private val context: AdmissionContext) {
+    private val lock = Any()
+    private val state = EntryState(context)
+
+    val counts: AdmissionCounts get() = synchronized(lock) { state.counts }
+
+    /** Takes a token from the organisation's rate limit; the problem when there is none. */
+    fun rateLimit(plan: RequestPlan): Problem? = synchronized(lock) { state.rateLimit(plan) }
+
+    /** Waits for a slot. A retry names the targets in [avoid] and is not turned away by the expected wait. */
+    suspend fun acquire(plan: RequestPlan, avoid: Set<GroupId>): Either<Problem, Slot> {
+        val candidates = context.ports.directory.candidates(plan.entry.name)
+        val waiter = synchronized(lock) {
+            state.update(candidates)
+            state.enqueue(plan, avoid)
+        }
+        return waiter.fold({ it.left() }) { await(it) }
+    }
+
+    /** Gives waiting requests the slots that are free now. */
+    fun dispatch(entry: EntryName) {
+        if (counts.queued == 0) return
+        val candidates = context.ports.directory.candidates(entry)
+        synchronized(lock) {
+            state.update(candidates)
+            state.grant()
+        }
+    }
+
+    /** Ends the use of a slot and wakes the next request. */
+    fun release(slot: Slot, end: AttemptEnd) {
+        val ejected = synchronized(lock) { state.release(slot, end) }
+        if (ejected) context.ports.metrics.ejected(slot.plan.entry.name, slot.candidate.group)
+        dispatch(slot.plan.entry.name)
+    }
+
+    /** Counts a running request as long once its answer is. */
+    fun progress(slot: Slot, length: Int) {
+        if (!slot.long) synchronized(lock) { state.progress(slot, length) }
+    }
+
+    private suspend fun await(waiter: Waiter): Either<Problem, Slot> {
+        val since = context.ports.clock.monotonic()
+        val within = minOf(waiter.plan.deadlineAt - since, waiter.plan.entry.limits.queueTime)
+        var result: Either<Problem, Slot>? = null
+        try {
+            result = withTimeoutOrNull(within) { waiter.grant.await() } ?: expire(waiter)
+        } finally {
+            if (result == null) leave(waiter)
+        }
+        val answer = checkNotNull(result)
+        answer.onRight { metrics(waiter, since) }
+        return answer
+    }
+
+    private fun metrics(waiter: Waiter, since: Duration) =
+        context.ports.metrics.admitted(waiter.plan.entry.name, context.ports.clock.monotonic() - since)
+
+    /** The time to wait is over: takes the slot that was granted at the last moment, or gives up. */
+    private suspend fun expire(waiter: Waiter): Either<Problem, Slot> {
+        val problem = synchronized(lock) { state.expire(waiter) }
+        return problem?.left() ?: waiter.grant.await()
+    }
+
+    /** The caller went away: leaves the queue, or gives back a slot that was granted meanwhile. */
+    private fun leave(waiter: Waiter) {
+        val granted = synchronized(lock) { if (state.remove(waiter)) null else waiter.slot }
+        granted?.let { release(it, AttemptEnd.Neutral) }
+    }
+}
+
+/** The right to send one request to [candidate]. */
+internal class Slot(val plan: RequestPlan, val candidate: Candidate, @Volatile var long: Boolean)
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/EntryState.kt
@@ -0,0 +1,84 @@
+package boragering.core
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlin.time.Duration
+
+/** Queue, slots and rate limits of one entry. Not safe for several threads. */
+internal class EntryState(private val context: AdmissionContext) {
+    private val queue = WaitQueue()
+    private val buckets = HashMap<OrganisationName, TokenBucket>()
+    private val lengths = RequestLengths()
+    private val targets = EntryTargets(
+        ReplicaSelector(context.selection, context.random),
+        confineLong = context.selection == ReplicaSelection.PowerOfTwoChoices,
+    )
+    private val policy = AdmissionPolicy(context.ports, queue, lengths, targets)
+    private var inFlight = 0
+    private var limits: RequestLimits? = null
+
+    val counts: AdmissionCounts get() = AdmissionCounts(queue.size, inFlight)
+
+    fun rateLimit(plan: RequestPlan): Problem? {
+        val bucket = buckets.getOrPut(plan.request.organisation) { TokenBucket(now()) }
+        return bucket.take(now(), policy.share(plan.entry.limits.requestsPerSecond))?.let(Problems::rateLimited)
+    }
+
+    /** Takes the targets that may get requests now. */
+    fun update(candidates: List<Candidate>) = targets.update(candidates, now())
+
+    /** Queues a request and gives out free slots, or says why the request cannot wait. */
+    fun enqueue(plan: RequestPlan, avoid: Set<GroupId>): Either<Problem, Waiter> {
+        limits = plan.entry.limits
+        val long = lengths.predict(plan)
+        val waiter = Waiter(plan, long, lengths.cost(long), avoid)
+        if (!waiter.retry) lengths.arrived(long, now())
+        val problem = if (waiter.retry) null else policy.refusal(waiter, inFlight)
+        if (problem != null) return problem.left()
+        queue.add(waiter)
+        grant()
+        return waiter.right()
+    }
+
+    /** Gives free slots to waiting requests. */
+    fun grant() {
+        val now = now()
+        val longShare = lengths.longShare(now)
+        queue.takeWhile { waiter ->
+            val allowed = inFlight < policy.share(checkNotNull(limits).concurrency)
+            val candidate = if (allowed) targets.place(waiter.long, longShare, waiter.avoid, now) else null
+            candidate?.also { start(waiter, it, now) } != null
+        }
+    }
+
+    /** Ends the use of a slot. Returns whether its target was ejected. */
+    fun release(slot: Slot, end: AttemptEnd): Boolean {
+        inFlight--
+        if (end is AttemptEnd.Succeeded) lengths.finished(slot.plan, end)
+        return targets.ended(slot.candidate, slot.long, end, now())
+    }
+
+    fun progress(slot: Slot, length: Int) {
+        if (!slot.long && lengths.isLong(slot.plan.entry, length)) {
+            slot.long = true
+            targets.becameLong(slot.candidate)
+        }
+    }
+
+    /** Takes [waiter] out of the queue; `false` when it was granted a slot or turned away before. */
+    fun remove(waiter: Waiter): Boolean = queue.remove(waiter)
+
+    /** The time of [waiter] is over; `null` when it was granted a slot or turned away before. */
+    fun expire(waiter: Waiter): Problem? = if (queue.remove(waiter)) policy.expired(waiter, inFlight) else null
+
+    private fun start(waiter: Waiter, candidate: Candidate, now: Duration) {
+        inFlight++
+        targets.started(candidate, waiter.long, now)
+        val slot = Slot(waiter.plan, candidate, waiter.long)
+        waiter.slot = slot
+        waiter.grant.complete(slot.right())
+    }
+
+    private fun now(): Duration = context.ports.clock.monotonic()
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/RequestExecutor.kt
@@ -0,0 +1,46 @@
+package boragering.core
+
+import java.util.concurrent.ConcurrentHashMap
+
+/**
+ * Serves callers' requests: admission, selection of a target, claims of non-repeatable requests, sending, retries. When
+ * the caller's coroutine is cancelled, the work on the target is cancelled and slots are freed.
+ */
+class RequestExecutor(
+    private val ports: RequestPorts,
+    private val claims: ClaimLedger,
+    private val admission: Admission,
+) : RequestService {
+    private val random = SharedRandom(ports.random)
+    private val budgets = ConcurrentHashMap<EntryName, RetryBudget>()
+
+    /** Set when the daemon shuts down: new requests are refused, those in progress continue. */
+    @Volatile
+    var draining: Boolean = false
+
+    override suspend fun serve(request: CallerRequest, receive: suspend (AnswerPart) -> Unit): RequestResult {
+        val catalogue = ports.catalogue.current()
+        val problem = when {
+            draining -> Problems.draining()
+            catalogue == null -> Problems.notReady()
+            else -> null
+        }
+        if (catalogue == null || problem != null) return refused(request, problem ?: Problems.notReady())
+        return RequestPlanner.plan(catalogue, request, ports.clock.monotonic())
+            .fold({ refused(request, it) }) { run(it, receive) }
+    }
+
+    private suspend fun run(plan: RequestPlan, receive: suspend (AnswerPart) -> Unit): RequestResult {
+        val budget = budgets.computeIfAbsent(plan.entry.name) { RetryBudget(ports.clock) }
+        budget.request()
+        val context = RunContext(ports, claims, admission.entry(plan), budget, random)
+        return RequestRun(context, plan, receive).run()
+    }
+
+    private fun refused(request: CallerRequest, problem: Problem): RequestResult {
+        ports.timeline.record(
+            TimelineEntry("request-ended", problem.detail, request = request.id, entry = request.entry),
+        )
+        return RequestResult.Failed(problem, started = false)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/TargetLoad.kt
@@ -0,0 +1,139 @@
+package boragering.core
+
+import kotlin.math.ceil
+import kotlin.math.pow
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** This daemon's requests on one target and what they showed about it. Not safe for several threads. */
+internal class TargetLoad(now: Duration) {
+    private val history = InFlightHistory(now)
+
+    /** Own requests at which the target refused one; grows again with each success. */
+    private var limit = Double.MAX_VALUE
+    private var failuresInRow = 0
+    private var samples = 0
+    private var ejections = 0
+
+    /** This daemon's requests on the target. */
+    var inFlight = 0
+        private set
+
+    /** Those of them that are long. */
+    var longInFlight = 0
+
+    /** Recent time to the first part of an answer; `null` before there are enough samples. */
+    val latency: Duration? get() = average.takeIf { samples >= MINIMUM_SAMPLES }
+    private var average = Duration.ZERO
+
+    /** Until when the target gets no requests because it is slow or failing. */
+    var ejectedUntil = Duration.ZERO
+        private set
+
+    /** Whether the target failed often enough in a row to be ejected. */
+    val failing: Boolean get() = failuresInRow >= FAILURES_TO_EJECT
+
+    /** Requests that the target can take now, as far as this daemon knows. */
+    fun free(candidate: Candidate, now: Duration): Int =
+        ceil(capacity(candidate) - inFlight - others(candidate, now) - ROUNDING).toInt().coerceAtLeast(0)
+
+    /** Estimated fraction of the target's slots in use. */
+    fun load(candidate: Candidate, now: Duration): Double =
+        (inFlight + others(candidate, now)) / capacity(candidate).coerceAtLeast(1.0)
+
+    /** Requests that the target can have at the same time; fewer than its slots after it refused some. */
+    fun capacity(candidate: Candidate): Double = minOf(limit, candidate.slots.toDouble())
+
+    /** The reported requests that this daemon did not send; an old report counts less. */
+    private fun others(candidate: Candidate, now: Duration): Double {
+        val own = history.at(now - candidate.reportAge)
+        val reported = (candidate.running + candidate.queued - own).coerceAtLeast(0)
+        return reported * HALF.pow(candidate.reportAge / REPORT_HALF_LIFE)
+    }
+
+    fun started(now: Duration) {
+        inFlight++
+        history.set(now, inFlight)
+    }
+
+    fun ended(now: Duration) {
+        inFlight--
+        history.set(now, inFlight)
+    }
+
+    /** An answer came whole; [firstPart] is how long its first part took, [slots] the target's slots. */
+    fun succeeded(firstPart: Duration, slots: Int) {
+        failuresInRow = 0
+        samples++
+        average = if (samples == 1) firstPart else average + (firstPart - average) * SAMPLE_WEIGHT
+        limit = (limit + 1.0 / limit).coerceAtMost(slots.toDouble())
+    }
+
+    /** The target failed during a request. */
+    fun failed() {
+        failuresInRow++
+    }
+
+    /** The target refused a request for lack of capacity. */
+    fun refused() {
+        limit = (minOf(limit, inFlight.toDouble()) * DECREASE).coerceAtLeast(1.0)
+    }
+
+    /** Ejects the target; each further time it lasts longer. What was measured is forgotten. */
+    fun eject(now: Duration) {
+        ejectedUntil = now + minOf(FIRST_EJECTION * (1 shl ejections.coerceAtMost(MAXIMUM_DOUBLINGS)), LONGEST_EJECTION)
+        ejections++
+        failuresInRow = 0
+        samples = 0
+    }
+
+    private companion object {
+        const val MINIMUM_SAMPLES = 5
+        const val SAMPLE_WEIGHT = 0.2
+        const val FAILURES_TO_EJECT = 3
+        const val DECREASE = 0.8
+        const val HALF = 0.5
+
+        /** Half a request of other daemons does not take a slot. */
+        const val ROUNDING = 0.5
+        val REPORT_HALF_LIFE = 1.seconds
+        val FIRST_EJECTION = 5.seconds
+        val LONGEST_EJECTION = 60.seconds
+        const val MAXIMUM_DOUBLINGS = 4
+    }
+}
+
+/**
+ * The number of this daemon's requests on a target over the last seconds. A report states all requests at the time of
+ * the report; to know how many of them were others', one needs the number of own ones at that time.
+ */
+internal class InFlightHistory(private var at: Duration) {
+    private val counts = IntArray(STEPS)
+
+    /** States the number from [now] on. */
+    fun set(now: Duration, count: Int) {
+        val last = counts[index(at)]
+        val steps = (step(now) - step(at)).coerceAtMost(STEPS.toLong())
+        for (offset in 1..steps) counts[Math.floorMod(step(now) - steps + offset, STEPS)] = last
+        counts[index(now)] = count
+        at = maxOf(at, now)
+    }
+
+    /** The number at [time]; the oldest known one for earlier times. */
+    fun at(time: Duration): Int {
+        val oldest = step(at) - STEPS + 1
+        return counts[Math.floorMod(step(time).coerceIn(oldest, step(at)), STEPS)]
+    }
+
+    private fun step(time: Duration): Long = Math.floorDiv(time.inWholeMilliseconds, STEP.inWholeMilliseconds)
+
+    private fun index(time: Duration): Int = Math.floorMod(step(time), STEPS)
+
+    private companion object {
+        val STEP = 50.milliseconds
+
+        /** Covers 3.2 s; reports count as evidence for 2.5 s. */
+        const val STEPS = 64
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/WaitQueue.kt
@@ -0,0 +1,144 @@
+package boragering.core
+
+import arrow.core.Either
+import kotlinx.coroutines.CompletableDeferred
+import kotlin.time.Duration
+
+/** A request that waits for a slot. [cost] is its expected service time relative to others. */
+internal class Waiter(val plan: RequestPlan, val long: Boolean, val cost: Double, val avoid: Set<GroupId>) {
+    val grant = CompletableDeferred<Either<Problem, Slot>>()
+
+    /** The slot that was granted; guarded by the entry's lock. */
+    var slot: Slot? = null
+    val retry: Boolean get() = avoid.isNotEmpty()
+}
+
+/**
+ * The requests of one entry that wait for a slot, ordered by urgency, then by weighted fair queueing between
+ * organisations. Not safe for several threads.
+ */
+internal class WaitQueue {
+    private val levels = Urgency.entries.sortedDescending().associateWith { Level() }
+
+    /** Number of waiting requests. */
+    val size: Int get() = levels.values.sumOf { it.size }
+
+    /** Adds [waiter]; a retry goes before its organisation's other requests, since it waited before. */
+    fun add(waiter: Waiter) = level(waiter).add(waiter)
+
+    /** Removes [waiter]; `false` when it is not waiting. */
+    fun remove(waiter: Waiter): Boolean = level(waiter).remove(waiter)
+
+    /**
+     * Takes requests in order while [place] accepts them. When a long request is not accepted, only short ones are
+     * tried from then on; when a short one is not accepted, none.
+     */
+    fun takeWhile(place: (Waiter) -> Boolean) {
+        var longBlocked = false
+        var blocked = false
+        for (level in levels.values) {
+            while (!blocked) {
+                val next = level.next(longBlocked) ?: break
+                when {
+                    place(next) -> level.served(next)
+                    next.long -> longBlocked = true
+                    else -> blocked = true
+                }
+            }
+        }
+    }
+
+    /**
+     * The request to drop so that [arriving] can wait: of the lowest urgency that is waiting, and there the newest one
+     * of the organisation with the most for its weight. `null` when that is [arriving] itself.
+     */
+    fun victim(arriving: Waiter): Waiter? {
+        val lowest = levels.entries.last { (urgency, level) -> level.size > 0 || urgency == arriving.plan.urgency }
+        val lower = lowest.key < arriving.plan.urgency
+        return if (lower) lowest.value.newestOfLongest() else lowest.value.victim(arriving)
+    }
+
+    /** Number of requests that are served before [arriving] if it is added now. */
+    fun ahead(arriving: Waiter): Double = levels.entries.sumOf { (urgency, level) ->
+        when {
+            urgency > arriving.plan.urgency -> level.size.toDouble()
+            urgency == arriving.plan.urgency -> level.ahead(arriving)
+            else -> 0.0
+        }
+    }
+
+    private fun level(waiter: Waiter): Level = levels.getValue(waiter.plan.urgency)
+
+    /** The waiting requests of one urgency. [virtualTime] is the finish time of the request that was served last. */
+    private class Level {
+        private val flows = LinkedHashMap<OrganisationName, Flow>()
+        private var virtualTime = 0.0
+        var size = 0
+            private set
+
+        fun add(waiter: Waiter) {
+            val flow = flows.getOrPut(waiter.plan.request.organisation) { Flow() }
+            if (flow.size == 0) flow.virtualTime = maxOf(flow.virtualTime, virtualTime)
+            flow.weight = waiter.plan.weight
+            if (waiter.retry) flow.of(waiter).addFirst(waiter) else flow.of(waiter).addLast(waiter)
+            size++
+        }
+
+        fun remove(waiter: Waiter): Boolean {
+            val removed = flows[waiter.plan.request.organisation]?.of(waiter)?.remove(waiter) ?: false
+            if (removed) size--
+            return removed
+        }
+
+        fun next(onlyShort: Boolean): Waiter? = flows.values
+            .mapNotNull { flow -> flow.head(onlyShort)?.let { it to flow.finishTime(it) } }
+            .minByOrNull { (_, finish) -> finish }?.first
+
+        fun served(waiter: Waiter) {
+            val flow = flows.getValue(waiter.plan.request.organisation)
+            remove(waiter)
+            // A retry was paid for when it was first served.
+            if (!waiter.retry) flow.virtualTime = flow.finishTime(waiter)
+            virtualTime = maxOf(virtualTime, flow.virtualTime)
+            flows.values.removeAll { it.size == 0 && it.virtualTime <= virtualTime }
+        }
+
+        fun newestOfLongest(): Waiter? = flows.values.maxByOrNull { it.share }?.newest()
+
+        fun victim(arriving: Waiter): Waiter? {
+            val own = arriving.plan.request.organisation
+            val ownShare = ((flows[own]?.size ?: 0) + 1.0) / arriving.plan.weight
+            val largest = flows.filterKeys { it != own }.values.maxByOrNull { it.share }
+            return largest?.takeIf { it.share > ownShare }?.newest()
+        }
+
+        fun ahead(arriving: Waiter): Double {
+            val own = arriving.plan.request.organisation
+            val position = flows[own]?.size ?: 0
+            return position + flows.filterKeys { it != own }.values.sumOf { flow ->
+                minOf(flow.size.toDouble(), (position + 1.0) * flow.weight / arriving.plan.weight)
+            }
+        }
+    }
+
+    /** The waiting requests of one organisation. [virtualTime] is the finish time of the one that was served last. */
+    private class Flow {
+        private val short = ArrayDeque<Waiter>()
+        private val long = ArrayDeque<Waiter>()
+        var virtualTime = 0.0
+        var weight = 1
+        val size: Int get() = short.size + long.size
+        val share: Double get() = size.toDouble() / weight
+
+        fun of(waiter: Waiter): ArrayDeque<Waiter> = if (waiter.long) long else short
+
+        fun finishTime(waiter: Waiter): Double = virtualTime + waiter.cost / weight
+
+        fun head(onlyShort: Boolean): Waiter? =
+            listOfNotNull(short.firstOrNull(), long.firstOrNull().takeUnless { onlyShort }).minByOrNull(::arrival)
+
+        fun newest(): Waiter? = listOfNotNull(short.lastOrNull(), long.lastOrNull()).maxByOrNull(::arrival)
+
+        private fun arrival(waiter: Waiter): Duration = waiter.plan.arrivedAt
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/boragering/core/FakeStore.kt
@@ -0,0 +1,97 @@
+package boragering.core
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A fault of one call to the store. */
+enum class StoreFault { DOWN, LOST_APPLIED, LOST_NOT_APPLIED, DELAYED }
+
+/** A store with compare-and-swap whose calls can fail. [faults] holds faults by the number of the call, from 1. */
+class FakeStore(private val scope: CoroutineScope) : Store {
+    val values = HashMap<String, StoredValue>()
+    var faults: Map<Int, StoreFault> = emptyMap()
+    var down = false
+    var latency = 2.milliseconds
+    var calls = 0
+        private set
+    var writes = 0
+        private set
+    private var revision = 0L
+
+    override suspend fun get(key: String): Either<StoreFailure, StoredValue?> {
+        val fault = next()
+        return if (fault == null) values[key].right() else StoreFailure.NotApplied("fault $fault").left()
+    }
+
+    override suspend fun getIfNewer(key: String, revision: StoreRevision): Either<StoreFailure, StoredValue?> =
+        get(key).map { value -> value?.takeIf { it.revision > revision } }
+
+    override suspend fun compareAndSwap(
+        key: String,
+        expected: StoreRevision,
+        value: String,
+        lease: LeaseId?,
+    ): Either<StoreFailure, SwapOutcome> = when (next()) {
+        null -> swap(key, expected, value).right()
+        StoreFault.DOWN -> StoreFailure.NotApplied("down").left()
+        StoreFault.LOST_NOT_APPLIED -> StoreFailure.Uncertain("lost").left()
+        StoreFault.LOST_APPLIED -> {
+            swap(key, expected, value)
+            StoreFailure.Uncertain("lost").left()
+        }
+        StoreFault.DELAYED -> {
+            scope.launch {
+                delay(DELAY)
+                swap(key, expected, value)
+            }
+            StoreFailure.Uncertain("lost").left()
+        }
+    }
+
+    private suspend fun next(): StoreFault? {
+        val number = ++calls
+        delay(latency)
+        return if (down) StoreFault.DOWN else faults[number]
+    }
+
+    private fun swap(key: String, expected: StoreRevision, value: String): SwapOutcome {
+        val current = values[key]
+        if ((current?.revision ?: StoreRevision.NONE) != expected) return SwapOutcome.Conflict(current)
+        writes++
+        return SwapOutcome.Swapped(StoreRevision(++revision)).also {
+            values[key] = StoredValue(key, value, it.revision)
+        }
+    }
+
+    override suspend fun range(prefix: String): Either<StoreFailure, PersistentList<StoredValue>> = unused()
+
+    override suspend fun compareAndDelete(key: String, expected: StoreRevision): Either<StoreFailure, SwapOutcome> =
+        unused()
+
+    override suspend fun grantLease(timeToLive: Duration): Either<StoreFailure, LeaseId> = unused()
+
+    override suspend fun renewLease(lease: LeaseId): Either<StoreFailure, Duration> = unused()
+
+    override suspend fun revokeLease(lease: LeaseId): Either<StoreFailure, Unit> = unused()
+
+    override suspend fun awaitChange(
+        prefix: String,
+        after: StoreRevision,
+        timeout: Duration,
+    ): Either<StoreFailure, PersistentList<StoredValue>> = persistentListOf<StoredValue>().right()
+
+    private fun unused(): Nothing = error("claims do not use this call")
+
+    companion object {
+        /** A delayed write arrives after the writer has read the key back. */
+        private val DELAY = 40.milliseconds
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/boragering/core/FakeTarget.kt
@@ -0,0 +1,106 @@
+package boragering.core
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What a target does with one call. */
+enum class TargetFault {
+    NOT_SENT,
+    REFUSED,
+    STALE,
+    BROKEN_NOT_RUN,
+    BROKEN_AFTER_RUN,
+    BROKEN_MIDWAY,
+    RUNS_LATE,
+    FOREIGN,
+    LEAKED,
+}
+
+/** Targets of all groups, with their own record of what they ran. [faults] holds faults by call number, from 1. */
+class FakeTarget(private val scope: CoroutineScope, private val stream: Boolean) : TargetCalls {
+    /** The requests that were run, in order. */
+    val runs = ArrayList<TargetCall>()
+    val sent = ArrayList<TargetCall>()
+    val cancelled = ArrayList<RequestId>()
+    var faults: Map<Int, TargetFault> = emptyMap()
+    var always: TargetFault? = null
+    var workTime = 10.milliseconds
+    var status = CREATED
+
+    override suspend fun send(call: TargetCall, receive: suspend (AnswerPart) -> Unit): Either<TargetFailure, Unit> {
+        sent.add(call)
+        val fault = faults[sent.size] ?: always
+        try {
+            delay(1.milliseconds)
+            return answer(call, fault, receive)
+        } catch (cancellation: CancellationException) {
+            cancelled.add(call.request)
+            throw cancellation
+        }
+    }
+
+    private suspend fun answer(
+        call: TargetCall,
+        fault: TargetFault?,
+        receive: suspend (AnswerPart) -> Unit,
+    ): Either<TargetFailure, Unit> = when (fault) {
+        TargetFault.NOT_SENT -> TargetFailure.NotSent("connection refused").left()
+        TargetFault.REFUSED -> TargetFailure.Refused("no capacity", UNAVAILABLE).left()
+        TargetFault.STALE -> TargetFailure.Refused("stale", CONFLICT).left()
+        TargetFault.BROKEN_NOT_RUN -> TargetFailure.Broken("connection reset").left()
+        TargetFault.RUNS_LATE -> {
+            scope.launch {
+                delay(LATE)
+                runs.add(call)
+            }
+            TargetFailure.Broken("connection reset").left()
+        }
+        else -> {
+            runs.add(call)
+            delay(workTime)
+            if (fault == TargetFault.BROKEN_AFTER_RUN) broken() else parts(call, fault, receive)
+        }
+    }
+
+    private fun broken(): Either<TargetFailure, Unit> = TargetFailure.Broken("connection reset").left()
+
+    private suspend fun parts(
+        call: TargetCall,
+        fault: TargetFault?,
+        receive: suspend (AnswerPart) -> Unit,
+    ): Either<TargetFailure, Unit> {
+        val type = if (stream) "text/event-stream" else "application/json"
+        receive(AnswerPart.Start(status, persistentListOf(Header("Content-Type", type))))
+        val parts = parts(call.request.value, fault)
+        parts.take(if (fault == TargetFault.BROKEN_MIDWAY) 1 else parts.size).forEach { receive(it) }
+        return if (fault == TargetFault.BROKEN_MIDWAY) broken() else Unit.right()
+    }
+
+    private fun parts(identity: String, fault: TargetFault?): List<AnswerPart> = when {
+        !stream -> listOf(AnswerPart.Body(Bytes.of("{\"booked\":")), AnswerPart.Body(Bytes.of("true}")))
+        fault == TargetFault.FOREIGN -> events("another")
+        fault == TargetFault.LEAKED -> events("another").take(1) + events(identity)
+        else -> events(identity)
+    }
+
+    private fun events(identity: String): List<AnswerPart> = listOf(
+        AnswerPart.Event(identity, "{\"id\":\"$identity\",\"choices\":[{\"delta\":{\"content\":\"hail\"}}]}"),
+        AnswerPart.Event(identity, "{\"id\":\"$identity\",\"choices\":[{\"finish_reason\":\"stop\"}]}"),
+    )
+
+    private companion object {
+        const val CREATED = 201
+        const val CONFLICT = 409
+        const val UNAVAILABLE = 503
+
+        /** A broken connection can leave a request in the target that runs only later. */
+        val LATE = 800.milliseconds
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/boragering/core/RequestWorld.kt
@@ -0,0 +1,190 @@
+package boragering.core
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val WALL_START = 1_800_000_000_000
+
+/** Daemons with a common store and common targets, on virtual time. */
+@OptIn(ExperimentalCoroutinesApi::class)
+class RequestWorld(private val scope: TestScope, entry: Entry, val seed: Int = 1, daemons: Int = 1) {
+    val store = FakeStore(scope.backgroundScope)
+    val target = FakeTarget(scope.backgroundScope, stream = entry is ModelEntry)
+    val directory = FakeDirectory(entry.name)
+    val metrics = CountingMetrics()
+    val timeline = ArrayList<TimelineEntry>()
+    var catalogue: Catalogue? = catalogue(entry)
+    val clock = object : Clock {
+        override fun wallMilliseconds(): Long = WALL_START + scope.testScheduler.currentTime
+
+        override fun monotonic(): Duration = scope.testScheduler.currentTime.milliseconds
+    }
+    private val registrations = List(daemons) { registration("daemon-$it") }
+    val daemons = registrations.map { FakeDaemon(ports(it)) }
+    private var requests = 0
+
+    /** Sends a request of [organisation] through the daemon with index [daemon] and waits for its end. */
+    suspend fun send(
+        request: CallerRequest,
+        daemon: Int = 0,
+        received: MutableList<AnswerPart> = ArrayList(),
+    ): RequestResult = daemons[daemon].executor.serve(request) { received.add(it) }
+
+    fun request(
+        key: String? = null,
+        organisation: String = "roofing",
+        headers: List<Header> = emptyList(),
+        outputTokens: Int? = null,
+        body: String = "{}",
+    ): CallerRequest {
+        val entry = checkNotNull(catalogue).entries.values.first()
+        return CallerRequest(
+            id = RequestId("request-${++requests}"),
+            organisation = OrganisationName(organisation),
+            entry = entry.name,
+            method = "POST",
+            path = if (entry is ModelEntry) "/v1/chat/completions" else "/orders",
+            headers = headers.toPersistentList(),
+            body = Bytes.of(body),
+            idempotencyKey = key,
+            outputTokens = outputTokens,
+        )
+    }
+
+    private fun ports(self: Registration) = RequestPorts(
+        store = store,
+        calls = target,
+        directory = directory,
+        catalogue = { catalogue },
+        peers = object : Peers {
+            override val self = self
+            override val live: PersistentList<Registration> get() = registrations.toPersistentList()
+        },
+        clock = clock,
+        random = Random(seed),
+        timeline = { timeline.add(it) },
+        metrics = metrics,
+    )
+
+    private fun registration(name: String) =
+        Registration(DaemonId(name), "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", AvailabilityZone("sapporo"), "dounai")
+
+    /** The request logic of one daemon. */
+    inner class FakeDaemon(val ports: RequestPorts, selection: ReplicaSelection = ReplicaSelection.PowerOfTwoChoices) {
+        val admission = Admission(ports, selection)
+        val ledger = ClaimLedger(ports, scope.backgroundScope)
+        val executor = RequestExecutor(ports, ledger, admission)
+
+        init {
+            scope.backgroundScope.launch { admission.run() }
+        }
+    }
+
+    companion object {
+        fun service(limits: RequestLimits = limits()) = ServiceEntry(
+            EntryName("orders-app"),
+            "owner",
+            "pool",
+            RequestClass(Urgency.NORMAL, RequestLength.SHORT, repeatable = false),
+            limits,
+            24.hours,
+            persistentListOf(Route("POST", "/orders", false), Route("GET", "/orders/{id}", true)),
+        )
+
+        fun model(
+            limits: RequestLimits = limits(),
+            urgency: Urgency = Urgency.URGENT,
+            length: RequestLength = RequestLength.MIXED,
+        ) = ModelEntry(
+            name = EntryName("kotoba-pool"),
+            owner = "owner",
+            pool = "pool",
+            requestClass = RequestClass(urgency, length, repeatable = true),
+            limits = limits,
+            claimRetention = 24.hours,
+            model = "kotoba-8b",
+            modelVersion = "3",
+            groupSize = 1,
+            replicas = 2,
+            enforcesFencing = true,
+        )
+
+        fun limits(
+            concurrency: Int = 64,
+            queueLength: Int = 64,
+            queueTime: Duration = 2.seconds,
+            deadline: Duration = 10.seconds,
+            requestsPerSecond: Int = 1_000,
+        ) = RequestLimits(concurrency, queueLength, queueTime, deadline, requestsPerSecond, outputTokens = 2048)
+
+        private fun catalogue(entry: Entry): Catalogue {
+            val organisations = listOf("roofing" to 1, "bridges" to 1, "large" to 1, "heavy" to 3)
+                .map { (name, weight) -> Organisation(OrganisationName(name), "sha256:", weight) }
+            return Catalogue(
+                1,
+                persistentHashMapOf<OrganisationName, Organisation>().putAll(organisations.associateBy { it.name }),
+                persistentHashMapOf(entry.name to entry),
+            )
+        }
+    }
+}
+
+/** A directory whose targets the test states. */
+class FakeDirectory(private val entry: EntryName) : TargetDirectory {
+    var targets = listOf("a", "b").map { candidate(it) }
+    val leaving = ArrayList<GroupId>()
+    var usable: (Candidate) -> Boolean = { true }
+
+    override fun candidates(entry: EntryName): PersistentList<Candidate> =
+        if (entry == this.entry) targets.filter { it.group !in leaving }.toPersistentList() else persistentListOf()
+
+    override fun usable(candidate: Candidate): Boolean = usable.invoke(candidate) && candidate.group !in leaving
+
+    override fun reportLeaving(group: GroupId, fence: Fence) {
+        leaving.add(group)
+    }
+
+    companion object {
+        fun candidate(name: String, slots: Int = 8) =
+            Candidate(GroupId(name), Fence(7), "$name:80", running = 0, queued = 0, slots = slots, Duration.ZERO)
+    }
+}
+
+/** Counts what tests look at. */
+class CountingMetrics : RequestMetrics {
+    var foreignParts = 0
+    var retries = 0
+    val ejected = ArrayList<GroupId>()
+    val batches = ArrayList<Int>()
+    val firstParts = ArrayList<Duration>()
+
+    override fun retried(entry: EntryName) {
+        retries++
+    }
+
+    override fun foreignPart(entry: EntryName, group: GroupId) {
+        foreignParts++
+    }
+
+    override fun ejected(entry: EntryName, group: GroupId) {
+        ejected.add(group)
+    }
+
+    override fun claimsWritten(claims: Int) {
+        batches.add(claims)
+    }
+
+    override fun firstPart(entry: EntryName, after: Duration) {
+        firstParts.add(after)
+    }
+}
