Add the operators' client boragerctl

Operators need one program for the catalogue, the state of the groups and the time line of all daemons. Each command has its own args4j options and help; results are text or JSON, and the exit code tells success, refusal, usage error, unknown outcome and unreachable apart.

apply sends a unique token. A call that failed before the connection was made goes to the next daemon; any other call without an answer is sent again with the same token, which a daemon answers alike for the last 200 changes. When more changes than that have followed, a conflict proves nothing about the lost call, and the outcome is reported as unknown.

timeline and requests ask all daemons that one of them lists, 16 at a time, and name those that cannot be reached. A daemon that answers 503 counts as unreachable, so that one that is not ready does not end a command.

args4j's nested sub-commands were ruled out: their help cannot be asked for per command, and an option before the command's name would belong to the program instead of the command.

--- a/core/src/main/kotlin/boragering/core/CatalogueWriter.kt
+++ b/core/src/main/kotlin/boragering/core/CatalogueWriter.kt
@@ -102,12 +102,15 @@
 
     private data class Written(val answer: ApplyAnswer?, val uncertain: Boolean)
 
-    private companion object {
-        const val TRIES = 6
-        val PAUSE = 200.milliseconds
+    companion object {
+        /** How many accepted changes the history holds, and with them their tokens. */
+        const val HISTORY_LIMIT = CatalogueState.HISTORY_LIMIT
+
+        private const val TRIES = 6
+        private val PAUSE = 200.milliseconds
 
         // The change is accepted already; a slow store must not keep the operator waiting for the answer.
-        val COMPACTION_TIME = 5.seconds
+        private val COMPACTION_TIME = 5.seconds
     }
 }
 
--- a/core/src/main/kotlin/boragering/core/TimelineText.kt
+++ b/core/src/main/kotlin/boragering/core/TimelineText.kt
@@ -22,7 +22,8 @@
     fun time(stamp: HybridTime): String =
         time(stamp.milliseconds) + if (stamp.counter == 0) "" else "+${stamp.counter}"
 
-    internal fun time(milliseconds: Long): String = TIME.format(Instant.ofEpochMilli(milliseconds))
+    /** A wall-clock time in milliseconds since the Unix epoch, in UTC. */
+    fun time(milliseconds: Long): String = TIME.format(Instant.ofEpochMilli(milliseconds))
 
     internal fun subjects(entry: TimelineEntry): List<String> = listOfNotNull(
         entry.entry?.let { "entry=$it" },
