Add the engine, service, live list, proxy and token hash stand-ins

Each kind has the options, faults and records that the scenario tests need. A leading engine becomes ready only after its members have answered its pings, so that a new group does not fail its first requests.

Only the build was run (compiler, formatter, linter). No stand-in but token-hash can serve until the build uses kotlinx-coroutines 1.11.0, which Ktor 3.5.2 requires; with 1.10.2 each accepted connection ends in NoSuchMethodError. There are no tests yet for the same reason.

--- a/standins/src/main/kotlin/boragering/standins/HttpListener.kt
+++ b/standins/src/main/kotlin/boragering/standins/HttpListener.kt
@@ -88,15 +88,21 @@
             try {
                 handler(exchange)
             } catch (aborted: CancellationException) {
-                val cause = IOException("connection aborted", aborted)
-                input.cancel(cause)
-                output.close(cause)
-                socket.close()
-                throw aborted
+                abort(aborted)
+            } catch (broken: IOException) {
+                abort(broken)
             } catch (invalid: IllegalArgumentException) {
                 exchange.respond(HttpStatusCode.BadRequest, standInJson.encodeToString(ErrorBody("${invalid.message}")))
             }
         }
+
+        private fun abort(reason: Exception): Nothing {
+            val cause = IOException("connection aborted", reason)
+            input.cancel(cause)
+            output.close(cause)
+            socket.close()
+            throw reason
+        }
     }
 }
 
--- a/standins/src/main/kotlin/boragering/standins/Kind.kt
+++ b/standins/src/main/kotlin/boragering/standins/Kind.kt
@@ -1,21 +1,62 @@
 package boragering.standins
 
-import io.ktor.network.selector.SelectorManager
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.awaitCancellation
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.runBlocking
+import java.nio.file.Path
+import java.util.UUID
 import kotlin.time.Duration.Companion.milliseconds
 
 /** The stand-ins that the program can start. */
 internal enum class Kind(val commandName: String) {
     STORE("store") {
-        override fun start(arguments: List<String>) = run(arguments, PortOptions()) { options, selector ->
+        override fun start(arguments: List<String>) = runStandIn(arguments, PortOptions()) { options ->
             val state = KeyValueState()
-            launch { expireLeases(state) }
-            announce(HttpListener.start(this, selector, options.port, StoreStandIn(state)::serve).port)
+            scope.launch { expireLeases(state) }
+            listen(options.port, StoreStandIn(state)::serve)
+        }
+    },
+
+    LIVE_LIST("live-list") {
+        override fun start(arguments: List<String>) = runStandIn(arguments, LiveListOptions()) { options ->
+            listen(options.port, LiveListStandIn(duration(options.lag))::serve)
+        }
+    },
+
+    ENGINE("engine") {
+        override fun start(arguments: List<String>) = runStandIn(arguments, EngineOptions()) { options ->
+            val process = EngineProcess(options, scope, HttpClient(CIO))
+            repeat(options.count) {
+                listen(options.instancePort(it), EngineStandIn(options.instanceId(it), incarnation(), process)::serve)
+            }
+        }
+    },
+
+    SERVICE("service") {
+        override fun start(arguments: List<String>) = runStandIn(arguments, ServiceOptions()) { options ->
+            val book = OrderBook()
+            repeat(options.count) {
+                val service = ServiceStandIn(options.instanceId(it), incarnation(), options, book)
+                listen(options.instancePort(it), service::serve)
+            }
+        }
+    },
+
+    PROXY("proxy") {
+        override fun start(arguments: List<String>) = runStandIn(arguments, ProxyOptions()) { options ->
+            val proxy = ProxyStandIn(scope, selector)
+            if (options.target.isNotEmpty()) println("link ${proxy.add(options.target, options.port).port}")
+            listen(options.controlPort, proxy::serve)
+        }
+    },
+
+    TOKEN_HASH("token-hash") {
+        override fun start(arguments: List<String>): Boolean {
+            val options = TokenHashOptions()
+            val valid = parse(arguments, options)
+            if (valid) println(tokenHash(Path.of(options.file)))
+            return valid
         }
     },
     ;
@@ -33,23 +74,4 @@
     }
 }
 
-/** Tells the parent process that the stand-in accepts connections on [port]. */
-internal fun announce(port: Int) {
-    println("listening $port")
-    System.out.flush()
-}
-
-private fun <T : Any> run(
-    arguments: List<String>,
-    options: T,
-    start: suspend CoroutineScope.(T, SelectorManager) -> Unit,
-): Boolean {
-    val valid = parse(arguments, options)
-    if (valid) {
-        runBlocking(Dispatchers.Default) {
-            start(options, SelectorManager(Dispatchers.IO))
-            awaitCancellation()
-        }
-    }
-    return valid
-}
+private fun incarnation(): String = UUID.randomUUID().toString()
