Repair chat completions and watches of the stand-ins

Running every kind by hand showed two faults. A private companion object in ChatRequest hid its serializer from other classes, so that each completion failed with IllegalAccessError and a closed connection. Inside the pipeline's handler, `input` named the request body's channel instead of the connection's, so that every client counted as gone once its body had been read: watches ended at once and completions were recorded as CLIENT_GONE.

Ktor's pipeline drops what a handler throws; the listener now logs it unless it is a cancellation or a broken connection.

--- a/standins/src/main/kotlin/boragering/standins/EngineMessages.kt
+++ b/standins/src/main/kotlin/boragering/standins/EngineMessages.kt
@@ -5,6 +5,9 @@
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
 
+// In a private companion it would hide the serializer from other classes.
+private const val DEFAULT_TOKENS = 16
+
 /** Header of a refusal that is certain to precede any run. */
 internal val notRun = listOf("Boragering-Not-Run" to "true")
 
@@ -67,10 +70,6 @@
     init {
         require(maxTokens >= 0 && resumeFrom >= 0) { "max_tokens and resume_from must not be negative" }
     }
-
-    private companion object {
-        const val DEFAULT_TOKENS = 16
-    }
 }
 
 @Serializable
--- a/standins/src/main/kotlin/boragering/standins/HttpListener.kt
+++ b/standins/src/main/kotlin/boragering/standins/HttpListener.kt
@@ -22,8 +22,10 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import org.apache.logging.log4j.LogManager
 import java.io.IOException
 import java.net.InetAddress
 import kotlin.time.Duration.Companion.minutes
@@ -32,6 +34,8 @@
 /** The address that all stand-ins bind. */
 internal const val LOOPBACK = "127.0.0.1"
 
+private val logger = LogManager.getLogger("boragering.standins")
+
 /** Handles one request; the response is complete when it returns. */
 internal typealias RequestHandler = suspend (Exchange) -> Unit
 
@@ -72,18 +76,27 @@
     // Ktor marks this layer as internal; the build pins Ktor's version, and no public layer can close a connection.
     @OptIn(InternalAPI::class)
     private class HttpConnection(private val socket: Socket, private val port: Int) {
-        private val input: ByteReadChannel = socket.openReadChannel()
-        private val output: ByteWriteChannel = socket.openWriteChannel()
+        private val received: ByteReadChannel = socket.openReadChannel()
+        private val sent: ByteWriteChannel = socket.openWriteChannel()
 
         fun serve(scope: CoroutineScope, handler: RequestHandler) {
             val local = SocketAddress(InetAddress.getLoopbackAddress(), port)
-            val connection = ServerIncomingConnection(input, output, null, local)
+            val connection = ServerIncomingConnection(received, sent, null, local)
             scope.startServerConnectionPipeline(connection, idleLimit) { request ->
-                val received = request.receive(this)
-                withContext(Dispatchers.Default) { handle(Exchange(received, output, input::isClosedForRead), handler) }
+                val message = request.receive(this)
+                withContext(Dispatchers.Default) {
+                    coroutineContext.job.invokeOnCompletion(::report)
+                    handle(Exchange(message, output, received::isClosedForRead), handler)
+                }
             }.invokeOnCompletion { socket.close() }
         }
 
+        /** Ktor's pipeline drops what a handler throws, which would hide faults of the stand-in itself. */
+        private fun report(failure: Throwable?) {
+            val expected = failure == null || failure is CancellationException || failure is IOException
+            if (!expected) logger.error("handling a request failed", failure)
+        }
+
         private suspend fun handle(exchange: Exchange, handler: RequestHandler) {
             try {
                 handler(exchange)
@@ -98,8 +111,8 @@
 
         private fun abort(reason: Exception): Nothing {
             val cause = IOException("connection aborted", reason)
-            input.cancel(cause)
-            output.close(cause)
+            received.cancel(cause)
+            sent.close(cause)
             socket.close()
             throw reason
         }
