--- a/core/src/main/kotlin/boragering/core/Claim.kt
+++ b/core/src/main/kotlin/boragering/core/Claim.kt
@@ -27,6 +27,12 @@
     /** Upper bound on the claim's part of the encoded document, in bytes. */
     val encodedSize: Int get() = FIXED_SIZE + daemon.value.length + state.variableSize
 
+    /**
+     * Whether the same attempt of the same daemon wrote [other]. Tokens are unique only within a daemon: two daemons
+     * whose random numbers start alike must not take each other's claims for their own.
+     */
+    fun sameAttempt(other: Claim): Boolean = token == other.token && daemon == other.daemon
+
     private companion object {
         /** Field names, digests, token, times, and the state without its variable text. */
         const val FIXED_SIZE = 260
--- a/core/src/main/kotlin/boragering/core/ClaimLedger.kt
+++ b/core/src/main/kotlin/boragering/core/ClaimLedger.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.commons.codec.binary.Base64
 import org.apache.commons.codec.digest.MurmurHash3
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
@@ -19,6 +20,7 @@
     private val self = ports.peers.self.daemon
     private val clock = ports.clock
     private val random = SharedRandom(ports.random)
+    private val tokens = AtomicLong()
     private val context = ClaimContext(ports.store, clock, random, scope, ports.metrics)
     private val documents = List(shards) { ClaimShard("$KEY_PREFIX$it", context) }
 
@@ -70,7 +72,7 @@
         return Claim(
             identity = ClaimDigests.identity(request, key),
             fingerprint = ClaimDigests.fingerprint(request),
-            token = Base64.encodeBase64URLSafeString(random.nextBytes(TOKEN_BYTES)),
+            token = "${tokens.incrementAndGet()}-${Base64.encodeBase64URLSafeString(random.nextBytes(TOKEN_BYTES))}",
             daemon = self,
             writtenAt = now,
             expiresAt = now + (entry.claimRetention + CLOCK_MARGIN).inWholeMilliseconds,
@@ -105,7 +107,7 @@
         /** Wall clocks of daemons and callers may differ by this much. */
         private val CLOCK_MARGIN = 5.minutes
         private val DRAIN_INTERVAL = 20.milliseconds
-        private const val TOKEN_BYTES = 16
+        private const val TOKEN_BYTES = 9
     }
 }
 
--- a/core/src/main/kotlin/boragering/core/ClaimOperation.kt
+++ b/core/src/main/kotlin/boragering/core/ClaimOperation.kt
@@ -56,13 +56,13 @@
         val present = claims[claim.identity]?.takeIf { it.expiresAt >= now }
         return when {
             present == null || reclaimable(present, claim) -> insert(claim)
-            present.token == claim.token -> ClaimResult.Written
+            present.sameAttempt(claim) -> ClaimResult.Written
             else -> ClaimResult.Taken(present)
         }
     }
 
     private fun reclaimable(present: Claim, claim: Claim): Boolean =
-        present.state == ClaimState.NotRun && present.token != claim.token && present.fingerprint == claim.fingerprint
+        present.state == ClaimState.NotRun && !present.sameAttempt(claim) && present.fingerprint == claim.fingerprint
 
     private fun insert(claim: Claim): ClaimResult {
         if (size + claim.encodedSize > SIZE_FOR_NEW_CLAIMS) makeRoom(claim.encodedSize)
@@ -86,10 +86,10 @@
      */
     private fun close(claim: Claim, state: ClaimState): ClaimResult {
         val present = claims[claim.identity]
-        val missing = present == null || (present.state == ClaimState.NotRun && present.token != claim.token)
+        val missing = present == null || (present.state == ClaimState.NotRun && !present.sameAttempt(claim))
         when {
             missing -> put(closed(claim, state))
-            present?.token == claim.token && present.state == ClaimState.Pending -> put(closed(claim, state))
+            present?.sameAttempt(claim) == true && present.state == ClaimState.Pending -> put(closed(claim, state))
         }
         return ClaimResult.Written
     }
--- a/core/src/main/kotlin/boragering/core/ClaimShard.kt
+++ b/core/src/main/kotlin/boragering/core/ClaimShard.kt
@@ -82,7 +82,7 @@
         var batch = nextBatch()
         while (batch != null) {
             if (batch.isEmpty()) {
-                withTimeoutOrNull(SETTLE_PAUSES.pause(failures + 1, context.random)) { arrived.receive() }
+                withTimeoutOrNull(SETTLE_PAUSES.pause(failures.coerceAtLeast(1), context.random)) { arrived.receive() }
                 batch = nextBatch().orEmpty()
             }
             failures = if (write(batch)) 0 else failures + 1
--- /dev/null
+++ b/core/src/test/kotlin/boragering/core/ClaimLedgerTest.kt
@@ -0,0 +1,160 @@
+package boragering.core
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.runTest
+import kotlin.time.Duration.Companion.days
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+private fun RequestWorld.ledger(daemon: Int = 0): ClaimLedger = daemons[daemon].ledger
+
+private suspend fun RequestWorld.open(key: String, daemon: Int = 0): Opened =
+    ledger(daemon).open(RequestWorld.service(), request(key), key, 2.seconds)
+
+private fun Opened.problem(): Problem = (this as Opened.Refused).problem
+
+/** A UUID of version 7 that was created [milliseconds] after the Unix epoch. */
+private fun uuid7(milliseconds: Long): String {
+    val time = milliseconds.toString(radix = 16).padStart(length = 12, '0')
+    return "${time.take(8)}-${time.drop(8)}-7abc-8def-0123456789ab"
+}
+
+class ClaimLedgerTest : DescribeSpec({
+    describe("claims that arrive while a write is in progress") {
+        it("share the next write, so that the store's write rate does not limit requests") {
+            runTest {
+                val world = RequestWorld(this, RequestWorld.service())
+                val single = ClaimLedger(world.daemons[0].ports, backgroundScope, shards = 1)
+                val keys = List(100) { "key-$it" }
+                keys.map { key ->
+                    async { single.open(RequestWorld.service(), world.request(key), key, 2.seconds) }
+                }.awaitAll().forEach { it.shouldBeInstanceOf<Opened.Held>() }
+                world.store.writes shouldBeLessThanOrEqual 2
+            }
+        }
+
+        it("are merged with those of another daemon, without losing one") {
+            runTest {
+                val world = RequestWorld(this, RequestWorld.service(), daemons = 2)
+                val ledgers = world.daemons.map { ClaimLedger(it.ports, backgroundScope, shards = 1) }
+                List(60) { number ->
+                    async {
+                        ledgers[number % 2]
+                            .open(RequestWorld.service(), world.request("key-$number"), "key-$number", 2.seconds)
+                    }
+                }.awaitAll().forEach { it.shouldBeInstanceOf<Opened.Held>() }
+                ClaimCodec.decode(world.store.values.values.single())?.claims?.size shouldBe 60
+            }
+        }
+    }
+
+    describe("a write whose response was lost") {
+        it("that is delayed can not take effect after the caller was told that the claim was refused") {
+            runTest {
+                val world = RequestWorld(this, RequestWorld.service())
+                // The write is delayed, and the store cannot be read back within the bounded tries.
+                world.store.faults = mapOf(2 to StoreFault.DELAYED) + (3..8).associateWith { StoreFault.DOWN }
+                world.open("key").problem().outcome shouldBe Outcome.UNKNOWN
+                delay(30.seconds)
+                val claim = world.store.values.values.single().let { ClaimCodec.decode(it) }?.claims?.values?.single()
+                claim?.state shouldBe ClaimState.NotRun
+            }
+        }
+    }
+
+    describe("a claim") {
+        it("is refused at once as not run while the store is down") {
+            runTest {
+                val world = RequestWorld(this, RequestWorld.service())
+                world.store.down = true
+                val before = testScheduler.currentTime
+                val problem = world.open("key").problem()
+                problem.kind shouldBe ProblemKind.STORE_UNAVAILABLE
+                problem.outcome shouldBe Outcome.NOT_RUN
+                problem.retryAfterSeconds shouldBe 1
+                testScheduler.currentTime - before shouldBeLessThan 100L
+            }
+        }
+
+        it("of a daemon that is gone stays pending and is not taken over") {
+            runTest {
+                val world = RequestWorld(this, RequestWorld.service(), daemons = 2)
+                world.open("key", daemon = 0).shouldBeInstanceOf<Opened.Held>()
+                delay(12.hours)
+                val problem = world.open("key", daemon = 1).problem()
+                problem.kind shouldBe ProblemKind.DUPLICATE
+                problem.outcome shouldBe Outcome.UNKNOWN
+            }
+        }
+
+        it("with another fingerprint is refused") {
+            runTest {
+                val world = RequestWorld(this, RequestWorld.service())
+                world.open("key")
+                val other = world.request("key", body = "{\"other\":1}")
+                val problem = world.ledger().open(RequestWorld.service(), other, "key", 2.seconds).problem()
+                problem.status shouldBe 422
+            }
+        }
+
+        it("is removed by a later write after its retention") {
+            runTest {
+                val world = RequestWorld(this, RequestWorld.service())
+                val single = ClaimLedger(world.daemons[0].ports, backgroundScope, shards = 1)
+                single.open(RequestWorld.service(), world.request("old"), "old", 2.seconds)
+                delay(1.days + 6.minutes)
+                single.open(RequestWorld.service(), world.request("new"), "new", 2.seconds)
+                ClaimCodec.decode(world.store.values.values.single())?.claims?.values.orEmpty() shouldHaveSize 1
+            }
+        }
+    }
+
+    describe("a key that carries its creation time") {
+        it("is refused when its claim may have been removed, and when it is from the future") {
+            runTest {
+                val world = RequestWorld(this, RequestWorld.service())
+                val now = world.clock.wallMilliseconds()
+                world.open(uuid7(now - 23.hours.inWholeMilliseconds)).shouldBeInstanceOf<Opened.Held>()
+                val old = world.open(uuid7(now - (24.hours - 4.minutes).inWholeMilliseconds)).problem()
+                old.kind shouldBe ProblemKind.KEY_EXPIRED
+                old.outcome shouldBe Outcome.UNKNOWN
+                val future = world.open(uuid7(now + 6.minutes.inWholeMilliseconds)).problem()
+                future.kind shouldBe ProblemKind.INVALID_REQUEST
+            }
+        }
+    }
+
+    describe("a full shard") {
+        it("refuses new claims as not run, stays under 1 MB, and still closes claims") {
+            runTest {
+                val world = RequestWorld(this, RequestWorld.service())
+                val single = ClaimLedger(world.daemons[0].ports, backgroundScope, shards = 1)
+                val opened = List(4_000) { number ->
+                    async {
+                        single.open(RequestWorld.service(), world.request("key-$number"), "key-$number", 60.seconds)
+                    }
+                }.awaitAll()
+                val held = opened.filterIsInstance<Opened.Held>()
+                val refused = opened.filterIsInstance<Opened.Refused>()
+                refused.map { it.problem.outcome }.toSet() shouldBe setOf(Outcome.NOT_RUN)
+                val finished = ClaimState.Finished(status = 201, "application/json", "x".repeat(2_700))
+                held.map { async { single.close(it.claim, finished, 60.seconds) } }.awaitAll().toSet() shouldBe
+                    setOf(true)
+                val stored = world.store.values.values.single()
+                val claims = checkNotNull(ClaimCodec.decode(stored)).claims
+                claims.values.count { it.state is ClaimState.Finished } shouldBe held.size
+                stored.value.length shouldBeLessThan 1_000_000
+                stored.value.length shouldBeLessThanOrEqual claims.values.sumOf { it.encodedSize }
+            }
+        }
+    }
+})
