Add the daemon's servers, settings, metrics and wiring

Cause: the parts of the core module need a process around them.

Ruled out: shutdown hooks for the graceful stop, since hooks run all at once and those of the HTTP servers would cut requests off.

Before: nothing serves callers.

--- /dev/null
+++ b/daemon/src/main/kotlin/boragering/daemon/Daemon.kt
@@ -0,0 +1,224 @@
+package boragering.daemon
+
+import boragering.adapters.HttpClients
+import boragering.adapters.HttpLiveList
+import boragering.adapters.HttpStore
+import boragering.adapters.HttpTargetCalls
+import boragering.adapters.HttpTargets
+import boragering.adapters.PeerLinkSettings
+import boragering.adapters.SocketPeerLink
+import boragering.adapters.SystemClock
+import boragering.core.Admission
+import boragering.core.CatalogueReplica
+import boragering.core.CatalogueWriter
+import boragering.core.ClaimLedger
+import boragering.core.ControllerPorts
+import boragering.core.ControllerSettings
+import boragering.core.ControllerState
+import boragering.core.DaemonId
+import boragering.core.Dissemination
+import boragering.core.DivisionReplica
+import boragering.core.DomainController
+import boragering.core.EchoBook
+import boragering.core.GroupHealth
+import boragering.core.HealthSettings
+import boragering.core.HybridClock
+import boragering.core.ItemReplica
+import boragering.core.Membership
+import boragering.core.MembershipPorts
+import boragering.core.PauseDetector
+import boragering.core.PeerEnvelope
+import boragering.core.PeerMessage
+import boragering.core.PlanningSettings
+import boragering.core.Registration
+import boragering.core.RequestExecutor
+import boragering.core.RequestId
+import boragering.core.RequestPorts
+import boragering.core.TimelineBuffer
+import boragering.core.TimelineEntry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.UUID
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Everything that one daemon consists of, connected. [start] launches its loops in [scope]. */
+internal class Daemon(private val settings: Settings, secrets: Secrets, private val scope: CoroutineScope) {
+    private val registry = MetricRegistry()
+    private val clock = SystemClock
+    private val random: Random = Random.Default
+    private val client = HttpClients.create()
+    private val self =
+        Registration(
+            daemon = DaemonId("${settings.name}-${UUID.randomUUID().toString().take(ID_SUFFIX_LENGTH)}"),
+            peerAddress = settings.listen.peers.toString(),
+            operatorAddress = settings.listen.operators.toString(),
+            callerAddress = settings.listen.callers.toString(),
+            availabilityZone = settings.availabilityZone,
+            region = settings.region,
+        )
+    private val hybridClock = HybridClock(self.daemon, clock)
+    private val events = TimelineBuffer(hybridClock)
+    private val timeline = LoggedTimeline(events)
+    private val store =
+        ObservedStore(HttpStore(client, settings.platform.store, settings.platform.timeout), registry)
+    private val items = ItemReplica(clock)
+    private val link = SocketPeerLink(linkSettings(secrets), ::receive)
+    private val membership =
+        Membership(
+            self,
+            items,
+            MembershipPorts(store, link, link, clock, timeline, PauseDetector(clock)),
+            settings.seeds.map { it.toString() },
+            random,
+        )
+    private val dissemination = Dissemination(items, membership, link, clock, random)
+    private val catalogue = CatalogueReplica(store, items, membership, timeline, random)
+    private val divisions = DivisionReplica(items, timeline)
+    private val divisionLoader = DivisionLoader(store, items)
+    private val echoes = EchoBook(clock)
+    private val health =
+        GroupHealth(
+            membership,
+            divisions,
+            echoes,
+            clock,
+            HealthSettings(holdersPerGroup = settings.groups.holdersPerGroup),
+        )
+    private val controller =
+        DomainController(
+            ControllerPorts(
+                store = store,
+                liveList = HttpLiveList(client, settings.platform.liveList),
+                targets = HttpTargets(client),
+                items = items,
+                link = link,
+                timeline = timeline,
+                clock = clock,
+                stamp = hybridClock::issue,
+            ),
+            ControllerState(membership, catalogue, divisions, health, echoes),
+            ControllerSettings(
+                pollInterval = settings.groups.pollInterval,
+                holdersPerGroup = settings.groups.holdersPerGroup,
+                planning = PlanningSettings(loadsAtOnce = settings.groups.loadsAtOnce),
+            ),
+        )
+    private val requestPorts =
+        RequestPorts(
+            store = store,
+            calls = HttpTargetCalls(client, scope),
+            directory = health,
+            catalogue = catalogue,
+            peers = membership,
+            clock = clock,
+            random = random,
+            timeline = timeline,
+            metrics = RequestCounters(registry),
+        )
+    private val claims = ClaimLedger(requestPorts, scope)
+    private val admission = Admission(requestPorts)
+    private val executor = RequestExecutor(requestPorts, claims, admission)
+    private val gate = RequestGate(settings.limits.concurrentRequests) { ready }
+    private val servers =
+        DaemonServers(
+            settings.listen,
+            CallerServer(
+                CallerAuthentication(catalogue),
+                gate,
+                AnswerWriter(executor),
+                { RequestId(UUID.randomUUID().toString()) },
+                settings.limits.requestBody,
+            ),
+            OperatorServer(operator(), OperatorAuthentication(secrets.operators), registry::text),
+        )
+
+    /** Whether the daemon can serve: it knows a catalogue and the divisions. */
+    val ready: Boolean get() = catalogue.current() != null && divisionLoader.loaded
+
+    /** Starts the loops and the servers. */
+    fun start() {
+        addGauges()
+        listOf<suspend () -> Unit>(
+            link::run,
+            membership::run,
+            dissemination::run,
+            catalogue::run,
+            divisionLoader::run,
+            controller::run,
+            admission::run,
+        ).forEach { loop -> scope.launch { loop() } }
+        servers.start()
+        timeline.record(TimelineEntry("daemon-started", "daemon ${self.daemon} listens at ${settings.listen.callers}"))
+    }
+
+    /**
+     * Stops gracefully: the daemon is no longer ready and takes no new request, and those in progress end by themselves
+     * or reach the drain time.
+     */
+    suspend fun stop() {
+        timeline.record(TimelineEntry("daemon-draining", "${gate.count} requests in progress"))
+        gate.close()
+        executor.draining = true
+        val finished =
+            withTimeoutOrNull(settings.limits.drainTime) {
+                while (gate.count > 0) delay(DRAIN_CHECK_INTERVAL)
+            } != null
+        claims.drain(CLAIM_DRAIN_TIME)
+        timeline.record(TimelineEntry("daemon-stopped", if (finished) "all requests ended" else "drain time is over"))
+        withTimeoutOrNull(LEAVE_TIME) { membership.leave() }
+        servers.stop()
+    }
+
+    private fun operator(): DaemonOperator =
+        DaemonOperator(
+            OperatorSources(
+                peers = membership,
+                catalogue = catalogue,
+                divisions = divisions,
+                health = health,
+                controller = controller,
+                admission = admission,
+                timeline = events,
+                writer = CatalogueWriter(store, items, clock, random),
+                store = store,
+                gate = gate,
+                ready = { ready },
+            ),
+        )
+
+    private fun linkSettings(secrets: Secrets): PeerLinkSettings = TODO("$secrets")
+
+    private fun receive(from: DaemonId, envelope: PeerEnvelope) {
+        hybridClock.merge(envelope.stamp)
+        val message = envelope.message
+        membership.handle(from, message)
+        when (message) {
+            is PeerMessage.Echo -> echoes.received(from, message)
+            is PeerMessage.GroupSummaries -> health.accept(from, message)
+            else -> dissemination.handle(from, message)
+        }
+    }
+
+    private fun addGauges() {
+        registry.gauge("boragering_requests_in_progress", "requests in the daemon") { gate.count }
+        registry.gauge("boragering_catalogue_revision", "revision in force") { catalogue.current()?.revision ?: 0 }
+        registry.gauge("boragering_live_daemons", "daemons held to be live") { membership.live.size }
+        registry.gauge("boragering_whole_groups", "groups held by this daemon that can serve") {
+            health.status().count { it.whole }
+        }
+        registry.gauge("boragering_store_reachable", "1 when the last call to the store was answered") {
+            if (store.reachable) 1 else 0
+        }
+    }
+
+    private companion object {
+        const val ID_SUFFIX_LENGTH = 8
+        val DRAIN_CHECK_INTERVAL = 50.milliseconds
+        val CLAIM_DRAIN_TIME = 5.seconds
+        val LEAVE_TIME = 3.seconds
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/boragering/daemon/DaemonServers.kt
@@ -0,0 +1,33 @@
+package boragering.daemon
+
+import io.ktor.server.application.Application
+import io.ktor.server.cio.CIO
+import io.ktor.server.cio.CIOApplicationEngine
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.embeddedServer
+
+/** The daemon's HTTP servers for callers and for operators. */
+internal class DaemonServers(listen: Addresses, callers: CallerServer, operators: OperatorServer) {
+    private val servers =
+        listOf(
+            server(listen.callers) { callers.install(this) },
+            server(listen.operators) { operators.install(this) },
+        )
+
+    /** Starts listening. */
+    fun start() = servers.forEach { it.start(wait = false) }
+
+    /** Closes the servers; requests in progress are cut off after the grace period. */
+    fun stop() = servers.forEach { it.stop(GRACE_MILLISECONDS, TIMEOUT_MILLISECONDS) }
+
+    private fun server(
+        address: SocketAddress,
+        module: Application.() -> Unit,
+    ): EmbeddedServer<CIOApplicationEngine, CIOApplicationEngine.Configuration> =
+        embeddedServer(CIO, host = address.host, port = address.port, module = module)
+
+    private companion object {
+        const val GRACE_MILLISECONDS = 200L
+        const val TIMEOUT_MILLISECONDS = 1_000L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/boragering/daemon/LoggedTimeline.kt
@@ -0,0 +1,24 @@
+package boragering.daemon
+
+import boragering.core.Timeline
+import boragering.core.TimelineEntry
+import org.apache.logging.log4j.CloseableThreadContext
+import org.apache.logging.log4j.LogManager
+
+/** Writes each event of the time line to the log as well, with its request, group, instance and entry as fields. */
+internal class LoggedTimeline(private val timeline: Timeline) : Timeline {
+    private val logger = LogManager.getLogger("boragering.timeline")
+
+    override fun record(event: TimelineEntry) {
+        timeline.record(event)
+        CloseableThreadContext.putAll(fields(event)).use { logger.info("{}: {}", event.kind, event.text) }
+    }
+
+    private fun fields(event: TimelineEntry): Map<String, String> =
+        buildMap {
+            event.request?.let { put("request", it.value) }
+            event.group?.let { put("group", it.value) }
+            event.instance?.let { put("instance", it.value) }
+            event.entry?.let { put("entry", it.value) }
+        }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/boragering/daemon/ObservedStore.kt
@@ -0,0 +1,61 @@
+package boragering.daemon
+
+import arrow.core.Either
+import boragering.core.LeaseId
+import boragering.core.Store
+import boragering.core.StoreFailure
+import boragering.core.StoreRevision
+import boragering.core.StoredValue
+import boragering.core.SwapOutcome
+import kotlinx.collections.immutable.PersistentList
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.time.Duration
+
+/** Counts the calls to the store, which are limited, and remembers whether the last one was answered. */
+internal class ObservedStore(private val store: Store, registry: MetricRegistry) : Store {
+    private val answered = AtomicBoolean()
+    private val calls =
+        registry.counter { name("boragering_store_calls").help("calls to the store").labelNames("kind", "result") }
+
+    /** Whether the last call was answered. */
+    val reachable: Boolean get() = answered.get()
+
+    override suspend fun get(key: String): Either<StoreFailure, StoredValue?> = store.get(key).count("read")
+
+    override suspend fun getIfNewer(key: String, revision: StoreRevision): Either<StoreFailure, StoredValue?> =
+        store.getIfNewer(key, revision).count("read")
+
+    override suspend fun range(prefix: String): Either<StoreFailure, PersistentList<StoredValue>> =
+        store.range(prefix).count("range")
+
+    override suspend fun compareAndSwap(
+        key: String,
+        expected: StoreRevision,
+        value: String,
+        lease: LeaseId?,
+    ): Either<StoreFailure, SwapOutcome> = store.compareAndSwap(key, expected, value, lease).count("write")
+
+    override suspend fun compareAndDelete(key: String, expected: StoreRevision): Either<StoreFailure, SwapOutcome> =
+        store.compareAndDelete(key, expected).count("write")
+
+    override suspend fun grantLease(timeToLive: Duration): Either<StoreFailure, LeaseId> =
+        store.grantLease(timeToLive).count("lease")
+
+    override suspend fun renewLease(lease: LeaseId): Either<StoreFailure, Duration> =
+        store.renewLease(lease).count("lease")
+
+    override suspend fun revokeLease(lease: LeaseId): Either<StoreFailure, Unit> =
+        store.revokeLease(lease).count("lease")
+
+    override suspend fun awaitChange(
+        prefix: String,
+        after: StoreRevision,
+        timeout: Duration,
+    ): Either<StoreFailure, PersistentList<StoredValue>> = store.awaitChange(prefix, after, timeout).count("watch")
+
+    private fun <A> Either<StoreFailure, A>.count(kind: String): Either<StoreFailure, A> {
+        answered.set(isRight())
+        calls.labelValues(kind, fold({ it::class.simpleName.orEmpty().lowercase() }, { "answered" })).inc()
+        return this
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/boragering/daemon/OperatorServer.kt
@@ -0,0 +1,134 @@
+package boragering.daemon
+
+import boragering.core.ApplyRequest
+import boragering.core.ApplyResult
+import boragering.core.RequestId
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.Application
+import io.ktor.server.request.contentLength
+import io.ktor.server.request.receiveChannel
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.RoutingContext
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.routing
+import io.ktor.utils.io.readRemaining
+import kotlinx.io.readByteArray
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+
+/** The HTTP interface for operators, and for the platform's checks and metrics. */
+internal class OperatorServer(
+    private val service: OperatorService,
+    private val authentication: OperatorAuthentication,
+    private val metrics: () -> String,
+) {
+    private val json = Json { encodeDefaults = true }
+
+    /** Installs the routes. */
+    fun install(application: Application) {
+        application.routing {
+            get("/live") { call.respondText("live\n") }
+            get("/ready") { respondReady() }
+            get("/metrics") { call.respondText(metrics(), METRICS_TYPE) }
+            get("/operator/status") { authorised { answer(service.status()) } }
+            get("/operator/groups") { authorised { answer(service.groups()) } }
+            get("/operator/peers") { authorised { answer(service.peers()) } }
+            get("/operator/timeline") { authorised { timeline() } }
+            get(
+                "/operator/requests/{id}"
+            ) { authorised { answer(service.request(RequestId(call.parameters["id"].orEmpty()))) } }
+            get("/operator/catalogue") { authorised { catalogue() } }
+            get("/operator/catalogue/history") { authorised { history() } }
+            post("/operator/catalogue") { authorised { apply() } }
+        }
+    }
+
+    private suspend fun RoutingContext.authorised(handle: suspend RoutingContext.() -> Unit) {
+        if (authentication.accepts(call.request.headers[HttpHeaders.Authorization])) {
+            handle()
+        } else {
+            fail(HttpStatusCode.Unauthorized, "the Authorization header must carry the operators' bearer token")
+        }
+    }
+
+    private suspend fun RoutingContext.respondReady() {
+        val ready = service.status().ready
+        val status = if (ready) HttpStatusCode.OK else HttpStatusCode.ServiceUnavailable
+        call.respondText(if (ready) "ready\n" else "not ready\n", status = status)
+    }
+
+    private suspend fun RoutingContext.timeline() {
+        val since = call.request.queryParameters["since"]
+        val milliseconds = if (since == null) 0L else since.toLongOrNull()
+        if (milliseconds == null) {
+            fail(HttpStatusCode.BadRequest, "since must be a number of milliseconds since the Unix epoch")
+        } else {
+            answer(service.timeline(milliseconds))
+        }
+    }
+
+    private suspend fun RoutingContext.catalogue() {
+        val catalogue = service.catalogue()
+        if (catalogue == null) {
+            fail(HttpStatusCode.ServiceUnavailable, "this daemon knows no catalogue")
+        } else {
+            answer(catalogue)
+        }
+    }
+
+    private suspend fun RoutingContext.history() {
+        val history = service.history()
+        if (history == null) {
+            fail(HttpStatusCode.ServiceUnavailable, "the store cannot be read")
+        } else {
+            answer(history)
+        }
+    }
+
+    private suspend fun RoutingContext.apply() {
+        val request = readApplyRequest()
+        if (request == null) {
+            fail(HttpStatusCode.BadRequest, "the body must be an apply request of at most $MAXIMUM_BODY_BYTES bytes")
+            return
+        }
+        val result = service.apply(request)
+        val status =
+            when (result.result) {
+                ApplyResult.ACCEPTED -> HttpStatusCode.OK
+                ApplyResult.CONFLICT -> HttpStatusCode.Conflict
+                ApplyResult.INVALID -> HttpStatusCode.UnprocessableEntity
+                ApplyResult.UNAVAILABLE, ApplyResult.UNKNOWN -> HttpStatusCode.ServiceUnavailable
+            }
+        answer(result, status)
+    }
+
+    private suspend fun RoutingContext.readApplyRequest(): ApplyRequest? {
+        if ((call.request.contentLength() ?: 0) > MAXIMUM_BODY_BYTES) return null
+        val bytes = call.receiveChannel().readRemaining(MAXIMUM_BODY_BYTES + 1).readByteArray()
+        return try {
+            bytes.takeIf { it.size <= MAXIMUM_BODY_BYTES }?.let { json.decodeFromString(it.decodeToString()) }
+        } catch (_: SerializationException) {
+            null
+        }
+    }
+
+    private suspend inline fun <reified T> RoutingContext.answer(
+        value: T,
+        status: HttpStatusCode = HttpStatusCode.OK,
+    ) = call.respondText(json.encodeToString(value), ContentType.Application.Json, status)
+
+    private suspend fun RoutingContext.fail(status: HttpStatusCode, detail: String) = answer(Failure(detail), status)
+
+    /** Body of an answer that is not a success. */
+    @Serializable
+    private data class Failure(val detail: String)
+
+    private companion object {
+        const val MAXIMUM_BODY_BYTES = 8L * 1024 * 1024
+        val METRICS_TYPE = ContentType.parse("text/plain; version=0.0.4; charset=utf-8")
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/boragering/daemon/OperatorService.kt
@@ -0,0 +1,39 @@
+package boragering.daemon
+
+import boragering.core.ApplyAnswer
+import boragering.core.ApplyRequest
+import boragering.core.CatalogueAnswer
+import boragering.core.GroupsAnswer
+import boragering.core.HistoryAnswer
+import boragering.core.PeersAnswer
+import boragering.core.RequestAnswer
+import boragering.core.RequestId
+import boragering.core.StatusAnswer
+import boragering.core.TimelineAnswer
+
+/** What operators can ask of a daemon. */
+internal interface OperatorService {
+    /** The daemon's state. */
+    fun status(): StatusAnswer
+
+    /** All groups with this daemon's view of their health. */
+    fun groups(): GroupsAnswer
+
+    /** The events that this daemon holds from [sinceMilliseconds] on. */
+    fun timeline(sinceMilliseconds: Long): TimelineAnswer
+
+    /** The events of one request. */
+    fun request(id: RequestId): RequestAnswer
+
+    /** The live daemons. */
+    fun peers(): PeersAnswer
+
+    /** The catalogue in force, `null` when there is none yet. */
+    fun catalogue(): CatalogueAnswer?
+
+    /** The accepted changes, `null` when the store cannot be read. */
+    suspend fun history(): HistoryAnswer?
+
+    /** Submits a change of the catalogue. */
+    suspend fun apply(request: ApplyRequest): ApplyAnswer
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/boragering/daemon/ProblemBody.kt
@@ -0,0 +1,61 @@
+package boragering.daemon
+
+import boragering.core.Outcome
+import boragering.core.Problem
+import boragering.core.ProblemKind
+import boragering.core.RequestId
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.response.header
+import io.ktor.server.response.respondText
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+
+/** A problem as callers receive it, `application/problem+json`. */
+@Serializable
+internal data class ProblemBody(
+    val type: String,
+    val title: String,
+    val status: Int,
+    val detail: String,
+    val outcome: String,
+    @SerialName("request_id") val requestId: String?,
+    @SerialName("retry_after_seconds") val retryAfterSeconds: Int? = null,
+)
+
+private val json = Json { explicitNulls = false }
+
+/** The problem's JSON text. */
+internal fun Problem.toJson(request: RequestId?): String =
+    json.encodeToString(
+        ProblemBody(
+            type = "urn:boragering:problem:${kind.wireName}",
+            title = kind.wireName.replace('-', ' '),
+            status = status,
+            detail = detail,
+            outcome = outcome.wireName,
+            requestId = request?.value,
+            retryAfterSeconds = retryAfterSeconds,
+        ),
+    )
+
+/** Answers the call with [problem]. */
+internal suspend fun ApplicationCall.respondProblem(problem: Problem, request: RequestId? = null) {
+    problem.retryAfterSeconds?.let { response.header(HttpHeaders.RetryAfter, it.toString()) }
+    respondText(
+        text = problem.toJson(request),
+        contentType = ContentType.parse("application/problem+json"),
+        status = HttpStatusCode.fromValue(problem.status),
+    )
+}
+
+/** A problem about a request that was refused before any of it was done. */
+internal fun refused(
+    kind: ProblemKind,
+    status: HttpStatusCode,
+    detail: String,
+    retryAfterSeconds: Int? = null,
+): Problem = Problem(kind, status.value, detail, Outcome.NOT_RUN, retryAfterSeconds)
--- /dev/null
+++ b/daemon/src/main/kotlin/boragering/daemon/SettingsReader.kt
@@ -0,0 +1,139 @@
+package boragering.daemon
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import boragering.core.AvailabilityZone
+import boragering.core.Finding
+import boragering.core.ObjectReader
+import boragering.core.ValueReader
+import boragering.core.Values
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonPrimitive
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/** Reads and checks the daemon's settings. All faults are reported together. */
+object SettingsReader {
+    private const val MAXIMUM_PORT = 65_535
+    private const val MAXIMUM_BODY_BYTES = 64L * 1024 * 1024
+    private const val DEFAULT_BODY_BYTES = 1024L * 1024
+    private const val MAXIMUM_REQUESTS = 100_000
+    private const val DEFAULT_REQUESTS = 4_096
+    private const val MAXIMUM_HOLDERS = 100
+    private const val DEFAULT_HOLDERS = 6
+    private const val MAXIMUM_LOADS = 1_000
+    private const val DEFAULT_LOADS = 4
+    private val DEFAULT_STORE_TIMEOUT = 2.seconds
+    private val DEFAULT_DRAIN_TIME = 5.minutes
+    private val DEFAULT_POLL_INTERVAL = 1.seconds
+    private val POLL_INTERVALS = 100.milliseconds..1.seconds
+    private val STORE_TIMEOUTS = 100.milliseconds..30.seconds
+    private val DRAIN_TIMES = 1.seconds..60.minutes
+
+    /** Reads [text]. */
+    fun read(text: String): Either<List<Finding>, Settings> = ObjectReader.parse(text, ::settings)
+
+    private fun settings(root: ObjectReader): Settings? {
+        val name = root.required("name", Values.text)
+        val zone = root.required("availabilityZone", Values.text)
+        val region = root.required("region", Values.text)
+        val listen = root.child("listen")?.let(::addresses)
+        val platform = root.child("platform")?.let(::platform)
+        val peers = root.child("peers")
+        val seeds = peers?.optional("seeds", emptyList<SocketAddress>().toPersistentList(), addressList)
+        val peerSecret = peers?.let(::secret)
+        val operatorToken = root.child("operators")?.let(::secretOnly)
+        peers?.rejectUnknown()
+        val limits = limits(if (root.has("limits")) root.child("limits") else null)
+        val groups = groups(if (root.has("groups")) root.child("groups") else null)
+        root.rejectUnknown()
+        val required = listOf(name, zone, region, listen, platform, seeds, peerSecret, operatorToken)
+        if (required.any { it == null }) return null
+        return Settings(
+            name = name!!,
+            availabilityZone = AvailabilityZone(zone!!),
+            region = region!!,
+            listen = listen!!,
+            platform = platform!!,
+            seeds = seeds!!,
+            peerSecret = peerSecret!!,
+            operatorToken = operatorToken!!,
+            limits = limits,
+            groups = groups,
+        )
+    }
+
+    private fun addresses(reader: ObjectReader): Addresses? {
+        val callers = reader.required("callers", address)
+        val operators = reader.required("operators", address)
+        val peers = reader.required("peers", address)
+        reader.rejectUnknown()
+        return if (callers == null || operators == null || peers == null) null else Addresses(callers, operators, peers)
+    }
+
+    private fun platform(reader: ObjectReader): PlatformSettings? {
+        val store = reader.required("store", baseUrl)
+        val liveList = reader.required("liveList", baseUrl)
+        val timeout = reader.optional("timeout", DEFAULT_STORE_TIMEOUT, Values.duration(STORE_TIMEOUTS))
+        reader.rejectUnknown()
+        return if (store == null || liveList == null) null else PlatformSettings(store, liveList, timeout)
+    }
+
+    private fun limits(reader: ObjectReader?): LimitSettings {
+        val body = reader?.optional("requestBody", DEFAULT_BODY_BYTES, Values.size) ?: DEFAULT_BODY_BYTES
+        if (body !in 1..MAXIMUM_BODY_BYTES) reader?.fault("requestBody", "is out of range", "from 1B to 64MiB")
+        val requests = reader?.optional("concurrentRequests", DEFAULT_REQUESTS, Values.integer(1..MAXIMUM_REQUESTS))
+        val drain = reader?.optional("drainTime", DEFAULT_DRAIN_TIME, Values.duration(DRAIN_TIMES))
+        reader?.rejectUnknown()
+        return LimitSettings(body, requests ?: DEFAULT_REQUESTS, drain ?: DEFAULT_DRAIN_TIME)
+    }
+
+    private fun groups(reader: ObjectReader?): GroupSettings {
+        val interval = reader?.optional("pollInterval", DEFAULT_POLL_INTERVAL, Values.duration(POLL_INTERVALS))
+        val holders = reader?.optional("holdersPerGroup", DEFAULT_HOLDERS, Values.integer(1..MAXIMUM_HOLDERS))
+        val loads = reader?.optional("loadsAtOnce", DEFAULT_LOADS, Values.integer(1..MAXIMUM_LOADS))
+        reader?.rejectUnknown()
+        return GroupSettings(interval ?: DEFAULT_POLL_INTERVAL, holders ?: DEFAULT_HOLDERS, loads ?: DEFAULT_LOADS)
+    }
+
+    private fun secretOnly(reader: ObjectReader): SecretReference? = secret(reader).also { reader.rejectUnknown() }
+
+    private fun secret(reader: ObjectReader): SecretReference? {
+        val file = reader.optional<String?>("secretFile", null, Values.text)
+        val variable = reader.optional<String?>("secretVariable", null, Values.text)
+        return when {
+            file != null && variable == null -> SecretReference.File(file)
+            file == null && variable != null -> SecretReference.Variable(variable)
+            else -> {
+                reader.fault("secretFile", "must be given, or else secretVariable", "exactly one of the two")
+                null
+            }
+        }
+    }
+
+    private val address: ValueReader<SocketAddress> = { element ->
+        val text = (element as? JsonPrimitive)?.takeIf { it.isString }?.content.orEmpty()
+        val port = text.substringAfterLast(':', "").toIntOrNull()
+        val host = text.substringBeforeLast(':', "")
+        if (host.isNotBlank() && port != null && port in 1..MAXIMUM_PORT) {
+            SocketAddress(host, port).right()
+        } else {
+            "an address with a port, for example \"10.0.0.5:8080\"".left()
+        }
+    }
+
+    private val addressList: ValueReader<PersistentList<SocketAddress>> = { element ->
+        val read = (element as? JsonArray)?.map { address(it).getOrNull() }
+        if (read == null || null in read) {
+            "a list of addresses with ports, for example [\"10.0.0.5:8082\"]".left()
+        } else {
+            read.filterNotNull().toPersistentList().right()
+        }
+    }
+
+    private val baseUrl: ValueReader<String> = Values.text(Regex("https?://[^/\\s]+"), "a base URL without a path")
+}
