Read only the changed entries of a catalogue change

Every daemon follows every change; rendering and reading the whole catalogue for each would grow with the number of entries. The changed entries alone are read and merged.

Time line queries take a limit, so that a client can merge the events of hundreds of daemons in bounded memory.

--- a/core/src/main/kotlin/boragering/core/CatalogueDocuments.kt
+++ b/core/src/main/kotlin/boragering/core/CatalogueDocuments.kt
@@ -57,27 +57,31 @@
     /** This state after one change. */
     fun after(change: ChangeDocument): Either<String, CatalogueState> {
         val accepted = change.note.accepted
-        val rendered = CatalogueText.json(catalogue)
+        // Only what has changed is read, since every daemon does this for every change.
         val json = buildJsonObject {
             put("revision", accepted.revision)
-            listOf("organisations" to change.organisations, "entries" to change.entries).forEach { (key, changes) ->
-                put(key, merged(rendered.getValue(key) as JsonArray, changes))
-            }
+            put("organisations", JsonArray(change.organisations.values.filterNotNull()))
+            put("entries", JsonArray(change.entries.values.filterNotNull()))
         }
-        val notes = (history + change.note).takeLast(HISTORY_LIMIT).toPersistentList()
         return when {
             accepted.revision != revision + 1 -> "revision ${accepted.revision} follows $revision".left()
-            else -> catalogueOf(json).map { CatalogueState(it, notes) }
+            else -> catalogueOf(json).map { CatalogueState(merged(it, change), noted(change.note)) }
         }
     }
 
     /** The stored form. */
     fun snapshot() = SnapshotDocument(CatalogueText.json(catalogue), history)
 
-    private fun merged(old: JsonArray, changes: Map<String, JsonObject?>): JsonArray {
-        val byName = old.associateBy { (it as JsonObject)["name"].toString().trim('"') }
-        return JsonArray((byName + changes).values.filterNotNull())
-    }
+    private fun merged(changed: Catalogue, change: ChangeDocument) = Catalogue(
+        revision = changed.revision,
+        organisations = change.organisations.keys.map(::OrganisationName)
+            .fold(catalogue.organisations) { all, name -> all.remove(name) }.putAll(changed.organisations),
+        entries = change.entries.keys.map(::EntryName)
+            .fold(catalogue.entries) { all, name -> all.remove(name) }.putAll(changed.entries),
+    )
+
+    private fun noted(note: NoteDocument): PersistentList<NoteDocument> =
+        (if (history.size < HISTORY_LIMIT) history else history.removeAt(0)).add(note)
 
     companion object {
         /** How many changes the history and with it the tokens are kept for. */
--- a/core/src/main/kotlin/boragering/core/CatalogueFollower.kt
+++ b/core/src/main/kotlin/boragering/core/CatalogueFollower.kt
@@ -70,7 +70,8 @@
         }
     }
 
-    private fun isWatcher(): Boolean =
+    /** Without a head that was read there is no position in the store's history from which to watch. */
+    private fun isWatcher(): Boolean = known > StoreRevision.NONE &&
         peers.ranked(CatalogueKeys.HEAD, WATCHERS).any { it.daemon == peers.self.daemon }
 
     /** Twice as long after each failure, up to [POLL_INTERVAL], with jitter so that daemons do not return together. */
--- a/core/src/main/kotlin/boragering/core/CatalogueReplica.kt
+++ b/core/src/main/kotlin/boragering/core/CatalogueReplica.kt
@@ -75,7 +75,9 @@
     private fun take(item: Item) {
         when (item.key) {
             CatalogueKeys.HEAD -> CatalogueKeys.head(item.content).fold(::unreadable, ::takeHead)
-            CatalogueKeys.SNAPSHOTS -> CatalogueKeys.snapshotState(item.content).fold(::unreadable, ::takeState)
+            CatalogueKeys.SNAPSHOTS -> if (item.version > (state?.revision ?: -1)) {
+                CatalogueKeys.snapshotState(item.content).fold(::unreadable, ::takeState)
+            }
         }
     }
 
--- a/core/src/main/kotlin/boragering/core/CatalogueText.kt
+++ b/core/src/main/kotlin/boragering/core/CatalogueText.kt
@@ -21,6 +21,10 @@
     /** The operators' document, with its revision, as [CatalogueReader] reads it. */
     fun of(catalogue: Catalogue): String = format.encodeToString(JsonElement.serializer(), json(catalogue)) + "\n"
 
+    /** What `GET /operator/catalogue` answers; before the first change that is the empty catalogue at revision 0. */
+    fun answer(catalogue: Catalogue?): CatalogueAnswer =
+        (catalogue ?: CatalogueState.EMPTY.catalogue).let { CatalogueAnswer(it.revision, of(it)) }
+
     internal fun json(catalogue: Catalogue): JsonObject = buildJsonObject {
         put("revision", catalogue.revision)
         putJsonArray("organisations") {
--- a/core/src/main/kotlin/boragering/core/JsonScan.kt
+++ b/core/src/main/kotlin/boragering/core/JsonScan.kt
@@ -37,9 +37,8 @@
     }
 
     private fun open(list: Boolean) {
-        val path = levels.lastOrNull()?.path().orEmpty()
         mark()
-        levels.addLast(Level(path, list))
+        levels.addLast(Level(if (levels.size < MAXIMUM_DEPTH) levels.lastOrNull()?.path().orEmpty() else "", list))
     }
 
     private fun close() {
@@ -55,14 +54,14 @@
         val level = levels.lastOrNull()
         if (level != null && level.expectsKey) {
             level.name(text.substring(start, minOf(position, text.length)))
-            if (found.put(level.path(), line) != null) twice += level.path()
+            if (levels.size <= MAXIMUM_DEPTH && found.put(level.path(), line) != null) twice += level.path()
         } else {
             mark()
         }
     }
 
     private fun mark() {
-        found.putIfAbsent(levels.lastOrNull()?.path().orEmpty(), line)
+        if (levels.size <= MAXIMUM_DEPTH) found.putIfAbsent(levels.lastOrNull()?.path().orEmpty(), line)
     }
 
     private class Level(private val parent: String, private val list: Boolean) {
@@ -86,4 +85,9 @@
             else -> "$parent.$key"
         }
     }
+
+    private companion object {
+        // Documents of this project are less deep; without a bound, the paths of a hostile one would fill the memory.
+        const val MAXIMUM_DEPTH = 32
+    }
 }
--- a/core/src/main/kotlin/boragering/core/TimelineBuffer.kt
+++ b/core/src/main/kotlin/boragering/core/TimelineBuffer.kt
@@ -1,11 +1,15 @@
 package boragering.core
 
-/** Which events to return; an absent part matches everything. [sinceMilliseconds] is wall-clock time. */
+/**
+ * Which events to return; an absent part matches everything. [sinceMilliseconds] is wall-clock time; [limit] is the
+ * number of events, of which the newest are returned.
+ */
 data class TimelineQuery(
     val group: GroupId? = null,
     val instance: InstanceId? = null,
     val request: RequestId? = null,
     val sinceMilliseconds: Long? = null,
+    val limit: Int = TimelineBuffer.CAPACITY,
 ) {
     /** Whether [event] is asked for. */
     fun matches(event: TimelineEvent): Boolean = listOf(
@@ -25,8 +29,9 @@
         events.addLast(TimelineEvent(clock.issue(), event))
     }
 
-    /** The matching events in order of their stamps. */
-    fun query(query: TimelineQuery): List<TimelineEvent> = synchronized(events) { events.filter(query::matches) }
+    /** The newest matching events in order of their stamps. */
+    fun query(query: TimelineQuery): List<TimelineEvent> =
+        synchronized(events) { events.filter(query::matches) }.takeLast(maxOf(0, query.limit))
 
     companion object {
         /** How many events a daemon keeps. */
