--- a/client/src/main/kotlin/boragering/client/Daemons.kt
+++ b/client/src/main/kotlin/boragering/client/Daemons.kt
@@ -7,15 +7,14 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withLock
 import kotlinx.coroutines.sync.withPermit
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import java.util.concurrent.atomic.AtomicInteger
 
-/** The answers of all daemons; [unreachable] names those without one, with the reason. */
-internal data class FleetAnswers<T>(val answers: List<T>, val unreachable: List<String>)
-
 /** The daemons that the operator named, tried in order. */
 internal class Daemons(
     private val client: OperatorClient,
@@ -41,30 +40,39 @@
         raise.raise(CommandFailure(ExitCode.UNREACHABLE, "no daemon answered: ${failures.joinToString("; ")}"))
     }
 
-    /** Reads the list of daemons from one of them and then asks all, [CONCURRENCY] at a time. */
+    /**
+     * Reads the list of daemons from one of them and then asks all, [CONCURRENCY] at a time. The result names the
+     * daemons without an answer, with the reasons. [collect] takes the answers one after the other.
+     */
     suspend fun <T> readAll(
         raise: Raise<CommandFailure>,
         call: OperatorCall,
         serializer: KSerializer<T>,
-    ): FleetAnswers<T> {
+        collect: (T) -> Unit,
+    ): List<String> {
         val peers = read(raise, OperatorCall("/operator/peers"), PeersAnswer.serializer())
         val all = peers.daemons.map { it.operatorAddress }.distinct()
         val permits = Semaphore(CONCURRENCY)
         val done = AtomicInteger()
-        val results = progress.during({ "${done.get()} of ${all.size} daemons have answered" }) {
+        val collecting = Mutex()
+        val failures = progress.during({ "${done.get()} of ${all.size} daemons have answered" }) {
             coroutineScope {
                 all.map { address ->
                     async {
-                        permits.withPermit { decoded(address, client.call(address, call), serializer) }
-                            .also { done.incrementAndGet() }
+                        permits.withPermit {
+                            decoded(address, client.call(address, call), serializer)
+                                .onRight { collecting.withLock { collect(it) } }
+                                .also { done.incrementAndGet() }
+                                .leftOrNull()?.detail
+                        }
                     }
-                }.awaitAll()
+                }.awaitAll().filterNotNull()
             }
         }
-        return FleetAnswers(
-            results.mapNotNull { it.getOrNull() },
-            results.mapNotNull { result -> result.leftOrNull()?.detail },
-        )
+        if (failures.size == all.size) {
+            raise.raise(CommandFailure(ExitCode.UNREACHABLE, "no daemon answered: ${failures.joinToString("; ")}"))
+        }
+        return failures
     }
 
     private fun <T> decoded(
--- a/client/src/main/kotlin/boragering/client/Progress.kt
+++ b/client/src/main/kotlin/boragering/client/Progress.kt
@@ -11,9 +11,10 @@
     /** Runs [block]; [describe] says what it is waiting for. */
     suspend fun <T> during(describe: () -> String, block: suspend () -> T): T = coroutineScope {
         val reporter = launch {
+            delay(FIRST)
             while (true) {
-                delay(INTERVAL)
                 err.println("boragerctl: ${printable(describe())}")
+                delay(INTERVAL)
             }
         }
         try {
@@ -24,6 +25,7 @@
     }
 
     private companion object {
-        val INTERVAL = 1.seconds
+        val FIRST = 1.seconds
+        val INTERVAL = 5.seconds
     }
 }
--- a/client/src/main/kotlin/boragering/client/TimelineCommands.kt
+++ b/client/src/main/kotlin/boragering/client/TimelineCommands.kt
@@ -1,8 +1,10 @@
 package boragering.client
 
 import arrow.core.raise.Raise
+import arrow.core.raise.ensure
 import boragering.core.RequestAnswer
 import boragering.core.TimelineAnswer
+import boragering.core.TimelineBuffer
 import boragering.core.TimelineEvent
 import boragering.core.TimelinePage
 import boragering.core.TimelineText
@@ -20,15 +22,37 @@
 
 /** Events of all daemons, as `--output json` prints them. */
 @Serializable
-internal data class EventsAnswer(val events: List<TimelineEvent>, val unreachable: List<String>)
+internal data class EventsAnswer(
+    val events: List<TimelineEvent>,
+    val unreachable: List<String>,
+    val limited: Boolean,
+)
 
-private fun eventsResult(exitCode: ExitCode, events: List<TimelineEvent>, unreachable: List<String>): Result {
-    val text = TimelineText.of(events) + notes(unreachable).joinToString("") { printable(it) + "\n" }
-    val json = Answers.text(EventsAnswer.serializer(), EventsAnswer(events, unreachable))
-    return Result(exitCode, text, json)
+/**
+ * Keeps the newest [limit] of the collected events. They are the newest of the whole system when every daemon has
+ * answered with its own newest [limit].
+ */
+internal class EventCollector(private val limit: Int) {
+    private var events = emptyList<TimelineEvent>()
+    private var limited = false
+
+    fun add(more: List<TimelineEvent>) {
+        val merged = mergeTimelines(listOf(events, more))
+        if (merged.size > limit || more.size >= limit) limited = true
+        events = merged.takeLast(limit)
+    }
+
+    fun answer(unreachable: List<String>) = EventsAnswer(events, unreachable, limited)
+}
+
+private fun eventsResult(exitCode: ExitCode, answer: EventsAnswer): Result {
+    val text = TimelineText.of(answer.events) + notes(answer).joinToString("") { printable(it) + "\n" }
+    return Result(exitCode, text, Answers.text(EventsAnswer.serializer(), answer))
 }
 
-private fun notes(unreachable: List<String>): List<String> = unreachable.map { "no events of $it" }
+private fun notes(answer: EventsAnswer): List<String> =
+    answer.unreachable.map { "no events of $it" } +
+        listOf("only the newest ${answer.events.size} events are shown").filter { answer.limited }
 
 internal class RequestsCommand : RemoteCommand("Shows what happened to one request on all daemons.", " ID") {
     @Argument(metaVar = "ID", usage = "the request's identity, from the header X-Request-Id", required = true)
@@ -36,10 +60,13 @@
 
     override suspend fun Raise<CommandFailure>.ask(daemons: Daemons, console: Console): Result {
         val call = OperatorCall("/operator/requests/${request.encodeURLPathPart()}")
-        val fleet = daemons.readAll(this, call, RequestAnswer.serializer())
-        val events = mergeTimelines(fleet.answers.map { it.events })
-        if (events.isEmpty()) console.err.println("boragerctl: no daemon that answered has events of the request")
-        return eventsResult(if (events.isEmpty()) ExitCode.REFUSED else ExitCode.SUCCESS, events, fleet.unreachable)
+        val collector = EventCollector(TimelineBuffer.CAPACITY)
+        val answer = collector.answer(
+            daemons.readAll(this, call, RequestAnswer.serializer()) { collector.add(it.events) },
+        )
+        val none = answer.events.isEmpty()
+        if (none) console.err.println("boragerctl: no daemon that answered has events of the request")
+        return eventsResult(if (none) ExitCode.REFUSED else ExitCode.SUCCESS, answer)
     }
 }
 
@@ -60,19 +87,34 @@
     )
     private var since: String? = null
 
+    @Option(name = "--limit", metaVar = "NUMBER", usage = "only the newest events, this many; 5000 without it")
+    private var limit: Int = DEFAULT_LIMIT
+
     @Option(name = "--html", metaVar = "FILE", usage = "write a page with a drawn time line to this file")
     private var html: String? = null
 
+    override fun Raise<CommandFailure>.prepare(console: Console) {
+        ensure(limit in 1..TimelineBuffer.CAPACITY) { usage("--limit is not from 1 to ${TimelineBuffer.CAPACITY}") }
+        start(console)
+    }
+
     override suspend fun Raise<CommandFailure>.ask(daemons: Daemons, console: Console): Result {
-        val query = listOf("group" to group, "instance" to instance, "request" to request, "since" to start(console))
-            .mapNotNull { (name, value) -> value?.let { name to it } }.toMap()
-        val fleet = daemons.readAll(this, OperatorCall("/operator/timeline", query), TimelineAnswer.serializer())
-        val events = mergeTimelines(fleet.answers.map { it.events })
-        val result = eventsResult(ExitCode.SUCCESS, events, fleet.unreachable)
+        val query = listOf(
+            "group" to group,
+            "instance" to instance,
+            "request" to request,
+            "since" to start(console),
+            "limit" to limit.toString(),
+        ).mapNotNull { (name, value) -> value?.let { name to it } }.toMap()
+        val collector = EventCollector(limit)
+        val call = OperatorCall("/operator/timeline", query)
+        val unreachable = daemons.readAll(this, call, TimelineAnswer.serializer()) { collector.add(it.events) }
+        val answer = collector.answer(unreachable)
+        val result = eventsResult(ExitCode.SUCCESS, answer)
         return html?.let { file ->
-            write(file, TimelinePage(events, notes(fleet.unreachable)).html())
-            val notes = notes(fleet.unreachable).joinToString("") { "\n" + printable(it) }
-            result.copy(text = "${events.size} events written to $file$notes")
+            write(file, TimelinePage(answer.events, notes(answer)).html())
+            val notes = notes(answer).joinToString("") { "\n" + printable(it) }
+            result.copy(text = "${answer.events.size} events written to $file$notes")
         } ?: result
     }
 
@@ -97,4 +139,8 @@
             raise(usage("$file cannot be written: ${exception.javaClass.simpleName} ${exception.message}"))
         }
     }
+
+    private companion object {
+        const val DEFAULT_LIMIT = 5000
+    }
 }
--- a/client/src/test/kotlin/boragering/client/ProgramTest.kt
+++ b/client/src/test/kotlin/boragering/client/ProgramTest.kt
@@ -132,7 +132,17 @@
                 val texts = run.out.lines().map { it.substringAfterLast("  ") }
                 texts.take(3) shouldBe listOf("seen by b", "in the division", "seen by a")
                 run.out shouldContain "no events of 127.0.0.1:1"
-                b.received.single().query shouldBe mapOf("group" to "g", "since" to "${NOW - 60_000}")
+                b.received.single().query shouldBe
+                    mapOf("group" to "g", "since" to "${NOW - 60_000}", "limit" to "5000")
+            }
+        }
+
+        it("with a limit shows the newest events of all daemons and says so") {
+            fleet { a, _ ->
+                val run = boragerctl("timeline", "--daemon", a.address, "--limit", "2")
+                run.out.lines().take(2).map { it.substringAfterLast("  ") } shouldBe
+                    listOf("in the division", "seen by a")
+                run.out shouldContain "only the newest 2 events are shown"
             }
         }
 
