Prove that a lost write which may still take effect stays unknown

Clearing the pending write although the head had not changed passed all tests. Two tests now cover a write that takes effect after its response was lost, and later tries that certainly fail while the first is open. The client prints a refusal's body on one line.

--- a/client/src/main/kotlin/boragering/client/Daemons.kt
+++ b/client/src/main/kotlin/boragering/client/Daemons.kt
@@ -100,9 +100,11 @@
         private const val UNAVAILABLE = 503
         private const val SHOWN = 200
         private val SUCCESS = 200..299
+        private val BLANKS = Regex("\\s+")
 
         /** What to tell the operator about an answer that is a refusal. */
         fun refusal(address: String, answer: CallResult.Answered): String =
-            "$address refused the request with status ${answer.status}: ${answer.body.take(SHOWN)}"
+            "$address refused the request with status ${answer.status}: " +
+                answer.body.take(SHOWN).replace(BLANKS, " ")
     }
 }
--- a/core/src/test/kotlin/boragering/core/CatalogueFakes.kt
+++ b/core/src/test/kotlin/boragering/core/CatalogueFakes.kt
@@ -10,7 +10,7 @@
 import kotlin.time.Duration
 
 /** What happens to one compare-and-swap. */
-internal enum class SwapFault { LOST_AFTER, LOST_BEFORE, REFUSED }
+internal enum class SwapFault { LOST_AFTER, LOST_BEFORE, LOST_DELAYED, REFUSED }
 
 /** A store in memory whose calls fail on demand. */
 internal class FakeStore : Store {
@@ -21,6 +21,7 @@
     var afterSwap: () -> Unit = {}
     var down = false
     private var revision = 0L
+    private var delayed: () -> Unit = {}
 
     override suspend fun get(key: String): Either<StoreFailure, StoredValue?> {
         reads += key
@@ -40,11 +41,13 @@
         lease: LeaseId?,
     ): Either<StoreFailure, SwapOutcome> {
         beforeSwap(key)
+        delayed()
         val fault = if (down) SwapFault.REFUSED else faults.removeFirstOrNull()
         return when (fault) {
             null -> swap(key, expected, value).right()
             SwapFault.REFUSED -> DOWN.left()
             SwapFault.LOST_BEFORE -> LOST.left()
+            SwapFault.LOST_DELAYED -> LOST.left().also { delayed = { swap(key, expected, value) } }
             SwapFault.LOST_AFTER -> LOST.left().also { swap(key, expected, value) }
         }.also { afterSwap() }
     }
--- a/core/src/test/kotlin/boragering/core/CatalogueWriterTest.kt
+++ b/core/src/test/kotlin/boragering/core/CatalogueWriterTest.kt
@@ -86,6 +86,25 @@
             }
         }
 
+        it("of a write that takes effect late is accepted once") {
+            runTest {
+                val store = FakeStore().apply { faults += SwapFault.LOST_DELAYED }
+                writer(store).apply(Documents.request(0, "t1", Documents.service("a"))).revision shouldBe 1
+                loaded(store).state.revision shouldBe 1
+            }
+        }
+
+        it("stays unknown when later tries are certain to have failed, since the first may still take effect") {
+            runTest {
+                val store = FakeStore().apply {
+                    faults += SwapFault.LOST_BEFORE
+                    repeat(20) { faults += SwapFault.REFUSED }
+                }
+                writer(store).apply(Documents.request(0, "t1", Documents.service("a"))).result shouldBe
+                    ApplyResult.UNKNOWN
+            }
+        }
+
         it("is a conflict when another change came first") {
             runTest {
                 val store = FakeStore().apply { faults += SwapFault.LOST_BEFORE }
