--- a/core/src/main/kotlin/boragering/core/AdmissionPolicy.kt
+++ b/core/src/main/kotlin/boragering/core/AdmissionPolicy.kt
@@ -12,48 +12,43 @@
     private val lengths: RequestLengths,
     private val targets: EntryTargets,
 ) {
+    private val estimate = WaitEstimate(ports.clock, queue, lengths, targets)
+
     /** This daemon's share of a limit for the whole system. */
     fun share(limit: Int): Int =
         ceil(limit.toDouble() / ports.peers.live.size.coerceAtLeast(1)).toInt()
 
     /** Why [waiter] cannot wait; `null` when it can, possibly because another request gave way to it. */
-    fun refusal(waiter: Waiter, inFlight: Int): Problem? {
+    fun refusal(waiter: Waiter, running: Collection<Slot>): Problem? {
         val limits = waiter.plan.entry.limits
-        val wait = expectedWait(waiter, inFlight)
+        val wait = expectedWait(waiter, running)
         val remaining = waiter.plan.deadlineAt - ports.clock.monotonic()
+        val needed = if (wait > Duration.ZERO) wait + lengths.cost(waiter.long).seconds else wait
         val full = queue.size >= share(limits.queueLength)
         val victim = if (full) queue.victim(waiter) else null
         return when {
             wait > limits.queueTime -> Problems.overloaded("the expected wait is $wait", wait - limits.queueTime)
-            wait > remaining -> Problems.overloaded("the deadline cannot be met", wait - remaining)
-            victim != null -> null.also { shed(victim, inFlight) }
+            needed > remaining -> Problems.overloaded("the deadline cannot be met", needed - remaining)
+            victim != null -> null.also { shed(victim, running) }
             full -> Problems.overloaded("the queue is full", wait)
             else -> null
         }
     }
 
-    private fun shed(victim: Waiter, inFlight: Int) {
-        queue.remove(victim)
-        val detail = "the request gave way to one that is more urgent or of an organisation with fewer requests"
-        victim.grant.complete(Problems.overloaded(detail, expectedWait(victim, inFlight)).left())
-    }
-
-    /** Time until [waiter] gets a slot if it is queued now, as far as durations are known. */
-    private fun expectedWait(waiter: Waiter, inFlight: Int): Duration {
-        val slots = minOf(share(waiter.plan.entry.limits.concurrency).toDouble(), targets.capacity)
-        val ahead = queue.ahead(waiter)
-        val duration = lengths.meanDuration(ports.clock.monotonic())
-        return when {
-            duration == null || slots < 1 || inFlight + ahead < slots -> Duration.ZERO
-            else -> ((ahead + 1) * duration / slots).seconds
-        }
-    }
-
     /** Why [waiter], which waited for as long as it may, is given up. */
-    fun expired(waiter: Waiter, inFlight: Int): Problem = when {
+    fun expired(waiter: Waiter, running: Collection<Slot>): Problem = when {
         waiter.plan.deadlineAt <= ports.clock.monotonic() ->
             Problems.deadlineExceeded("the deadline passed in the queue", Outcome.NOT_RUN)
         !targets.present -> Problems.noTarget(waiter.plan.entry.name)
-        else -> Problems.overloaded("no slot became free in the queue time", expectedWait(waiter, inFlight))
+        else -> Problems.overloaded("no slot became free in the queue time", expectedWait(waiter, running))
     }
+
+    private fun shed(victim: Waiter, running: Collection<Slot>) {
+        queue.remove(victim)
+        val detail = "the request gave way to one that is more urgent or of an organisation with fewer requests"
+        victim.grant.complete(Problems.overloaded(detail, expectedWait(victim, running)).left())
+    }
+
+    private fun expectedWait(waiter: Waiter, running: Collection<Slot>): Duration =
+        estimate.of(waiter, running, share(waiter.plan.entry.limits.concurrency))
 }
--- a/core/src/main/kotlin/boragering/core/EntryAdmission.kt
+++ b/core/src/main/kotlin/boragering/core/EntryAdmission.kt
@@ -87,5 +87,10 @@
     }
 }
 
-/** The right to send one request to [candidate]. */
-internal class Slot(val plan: RequestPlan, val candidate: Candidate, @Volatile var long: Boolean)
+/** The right to send one request to [candidate] from the monotonic time [startedAt] on. */
+internal class Slot(
+    val plan: RequestPlan,
+    val candidate: Candidate,
+    val startedAt: Duration,
+    @Volatile var long: Boolean,
+)
--- a/core/src/main/kotlin/boragering/core/EntryState.kt
+++ b/core/src/main/kotlin/boragering/core/EntryState.kt
@@ -15,10 +15,10 @@
         confineLong = context.selection == ReplicaSelection.PowerOfTwoChoices,
     )
     private val policy = AdmissionPolicy(context.ports, queue, lengths, targets)
-    private var inFlight = 0
+    private val running = LinkedHashSet<Slot>()
     private var limits: RequestLimits? = null
 
-    val counts: AdmissionCounts get() = AdmissionCounts(queue.size, inFlight)
+    val counts: AdmissionCounts get() = AdmissionCounts(queue.size, running.size)
 
     fun rateLimit(plan: RequestPlan): Problem? {
         val bucket = buckets.getOrPut(plan.request.organisation) { TokenBucket(now()) }
@@ -34,7 +34,7 @@
         val long = lengths.predict(plan)
         val waiter = Waiter(plan, long, lengths.cost(long), avoid)
         if (!waiter.retry) lengths.arrived(long, now())
-        val problem = if (waiter.retry) null else policy.refusal(waiter, inFlight)
+        val problem = if (waiter.retry) null else policy.refusal(waiter, running)
         if (problem != null) return problem.left()
         queue.add(waiter)
         grant()
@@ -46,7 +46,7 @@
         val now = now()
         val longShare = lengths.longShare(now)
         queue.takeWhile { waiter ->
-            val allowed = inFlight < policy.share(checkNotNull(limits).concurrency)
+            val allowed = running.size < policy.share(checkNotNull(limits).concurrency)
             val candidate = if (allowed) targets.place(waiter.long, longShare, waiter.avoid, now) else null
             candidate?.also { start(waiter, it, now) } != null
         }
@@ -54,7 +54,7 @@
 
     /** Ends the use of a slot. Returns whether its target was ejected. */
     fun release(slot: Slot, end: AttemptEnd): Boolean {
-        inFlight--
+        running.remove(slot)
         if (end is AttemptEnd.Succeeded) lengths.finished(slot.plan, end)
         return targets.ended(slot.candidate, slot.long, end, now())
     }
@@ -70,12 +70,12 @@
     fun remove(waiter: Waiter): Boolean = queue.remove(waiter)
 
     /** The time of [waiter] is over; `null` when it was granted a slot or turned away before. */
-    fun expire(waiter: Waiter): Problem? = if (queue.remove(waiter)) policy.expired(waiter, inFlight) else null
+    fun expire(waiter: Waiter): Problem? = if (queue.remove(waiter)) policy.expired(waiter, running) else null
 
     private fun start(waiter: Waiter, candidate: Candidate, now: Duration) {
-        inFlight++
         targets.started(candidate, waiter.long, now)
-        val slot = Slot(waiter.plan, candidate, waiter.long)
+        val slot = Slot(waiter.plan, candidate, now, waiter.long)
+        running.add(slot)
         waiter.slot = slot
         waiter.grant.complete(slot.right())
     }
--- a/core/src/main/kotlin/boragering/core/EntryTargets.kt
+++ b/core/src/main/kotlin/boragering/core/EntryTargets.kt
@@ -9,9 +9,6 @@
     private val loads = HashMap<GroupId, TargetLoad>()
     private var candidates: List<Candidate> = emptyList()
 
-    /** Requests that all present targets can have at the same time. */
-    val capacity: Double get() = candidates.sumOf { loads[it.group]?.capacity(it) ?: it.slots.toDouble() }
-
     /** Whether there is any target. */
     val present: Boolean get() = candidates.isNotEmpty()
 
@@ -30,16 +27,27 @@
      * of each target's slots and of all slots together.
      */
     fun place(long: Boolean, longShare: Double, avoid: Set<GroupId>, now: Duration): Candidate? {
-        if (long && confineLong && !longFits(longShare)) return null
-        val free = candidates.filter { candidate ->
-            val load = loads.getValue(candidate.group)
-            load.ejectedUntil <= now && load.free(candidate, now) > 0 &&
-                (!long || !confineLong || load.longInFlight < longLimit(candidate.slots, longShare))
-        }
+        val free = free(long, longShare, now)
         val preferred = free.filter { it.group !in avoid }.ifEmpty { free }
         return selector.select(views(preferred, now))?.candidate
     }
 
+    /** The targets with room for a request. */
+    fun free(long: Boolean, longShare: Double, now: Duration): List<Candidate> =
+        if (long && longBlocked(longShare)) {
+            emptyList()
+        } else {
+            candidates.filter { candidate ->
+                val load = loads.getValue(candidate.group)
+                load.ejectedUntil <= now && load.free(candidate, now) > 0 &&
+                    (!long || !confineLong || load.longInFlight < maxOf(1, (candidate.slots * longShare).toInt()))
+            }
+        }
+
+    /** Whether long requests have used up their share, so that they wait apart from short ones. */
+    fun longBlocked(longShare: Double): Boolean = confineLong &&
+        loads.values.sumOf { it.longInFlight } >= ceil(longShare * candidates.sumOf { it.slots })
+
     /** Counts a request that starts on [candidate]. */
     fun started(candidate: Candidate, long: Boolean, now: Duration) {
         val load = loads.getOrPut(candidate.group) { TargetLoad(now) }
@@ -66,11 +74,6 @@
         return eject
     }
 
-    private fun longFits(longShare: Double): Boolean =
-        loads.values.sumOf { it.longInFlight } < ceil(longShare * candidates.sumOf { it.slots })
-
-    private fun longLimit(slots: Int, longShare: Double): Int = (slots * longShare).toInt().coerceAtLeast(1)
-
     private fun views(of: List<Candidate>, now: Duration): List<TargetView> {
         val typical = typicalLatency()
         return of.map { candidate ->
--- a/core/src/main/kotlin/boragering/core/RequestLengths.kt
+++ b/core/src/main/kotlin/boragering/core/RequestLengths.kt
@@ -39,7 +39,10 @@
     fun arrived(long: Boolean, now: Duration) = demand.getValue(long).add(now, cost(long))
 
     /** The expected service time in seconds of a long or short request, one second while unknown. */
-    fun cost(long: Boolean): Double = durations.getValue(long).takeIf { it.samples > 0 }?.value ?: 1.0
+    fun cost(long: Boolean): Double = knownDuration(long) ?: 1.0
+
+    /** The service time in seconds of long or short requests, `null` while unknown. */
+    fun knownDuration(long: Boolean): Double? = durations.getValue(long).takeIf { it.samples > 0 }?.value
 
     /** The mean service time in seconds of recent requests, `null` while unknown. */
     fun meanDuration(now: Duration): Double? {
--- a/core/src/main/kotlin/boragering/core/TargetLoad.kt
+++ b/core/src/main/kotlin/boragering/core/TargetLoad.kt
@@ -47,7 +47,7 @@
 
     /** The reported requests that this daemon did not send; an old report counts less. */
     private fun others(candidate: Candidate, now: Duration): Double {
-        val own = history.at(now - candidate.reportAge)
+        val own = history.before(now - candidate.reportAge)
         val reported = (candidate.running + candidate.queued - own).coerceAtLeast(0)
         return reported * HALF.pow(candidate.reportAge / REPORT_HALF_LIFE)
     }
@@ -120,10 +120,13 @@
         at = maxOf(at, now)
     }
 
-    /** The number at [time]; the oldest known one for earlier times. */
-    fun at(time: Duration): Int {
+    /**
+     * The number shortly before [time]; the oldest known one for earlier times. Requests that started within the
+     * history's resolution before a report are taken as not contained in it, so that a slot is not used twice.
+     */
+    fun before(time: Duration): Int {
         val oldest = step(at) - STEPS + 1
-        return counts[Math.floorMod(step(time).coerceIn(oldest, step(at)), STEPS)]
+        return counts[Math.floorMod((step(time) - 1).coerceIn(oldest, step(at)), STEPS)]
     }
 
     private fun step(time: Duration): Long = Math.floorDiv(time.inWholeMilliseconds, STEP.inWholeMilliseconds)
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/WaitEstimate.kt
@@ -0,0 +1,38 @@
+package boragering.core
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Estimates how long requests of one entry wait for a slot. Not safe for several threads. */
+internal class WaitEstimate(
+    private val clock: Clock,
+    private val queue: WaitQueue,
+    private val lengths: RequestLengths,
+    private val targets: EntryTargets,
+) {
+    /**
+     * Time until [waiter] gets a slot if it is queued now, while [running] hold the entry's slots, of which there may
+     * be [limit]. Zero when there is room, or when it is not known how long requests take.
+     */
+    fun of(waiter: Waiter, running: Collection<Slot>, limit: Int): Duration {
+        val now = clock.monotonic()
+        val longShare = lengths.longShare(now)
+        // While long requests have used up their share, they and the short ones wait for different slots.
+        val kind = waiter.long.takeIf { targets.longBlocked(longShare) }
+        val ahead = queue.ahead(waiter, kind)
+        val room = ahead == 0 && running.size < limit && targets.free(waiter.long, longShare, now).isNotEmpty()
+        val duration = if (kind == null) lengths.meanDuration(now) else lengths.knownDuration(kind)
+        val ends = running.filter { kind == null || it.long == kind }.map { remaining(it, now) }.sorted()
+        return when {
+            room || duration == null || ends.isEmpty() -> Duration.ZERO
+            else -> ends[ahead % ends.size] + (ahead / ends.size * duration).seconds
+        }
+    }
+
+    /** Expected time to the end of a running request; one that is overdue is expected to need half as long again. */
+    private fun remaining(slot: Slot, now: Duration): Duration {
+        val expected = lengths.cost(slot.long).seconds
+        val left = slot.startedAt + expected - now
+        return if (left > Duration.ZERO) left else expected / 2
+    }
+}
--- a/core/src/main/kotlin/boragering/core/WaitQueue.kt
+++ b/core/src/main/kotlin/boragering/core/WaitQueue.kt
@@ -58,12 +58,15 @@
         return if (lower) lowest.value.newestOfLongest() else lowest.value.victim(arriving)
     }
 
-    /** Number of requests that are served before [arriving] if it is added now. */
-    fun ahead(arriving: Waiter): Double = levels.entries.sumOf { (urgency, level) ->
+    /**
+     * Number of requests that are served before [arriving] if it is added now; only the long or the short ones of them
+     * when [long] is given.
+     */
+    fun ahead(arriving: Waiter, long: Boolean?): Int = levels.entries.sumOf { (urgency, level) ->
         when {
-            urgency > arriving.plan.urgency -> level.size.toDouble()
-            urgency == arriving.plan.urgency -> level.ahead(arriving)
-            else -> 0.0
+            urgency > arriving.plan.urgency -> level.count(long)
+            urgency == arriving.plan.urgency -> level.ahead(arriving, long)
+            else -> 0
         }
     }
 
@@ -112,11 +115,13 @@
             return largest?.takeIf { it.share > ownShare }?.newest()
         }
 
-        fun ahead(arriving: Waiter): Double {
+        fun count(long: Boolean?): Int = flows.values.sumOf { it.count(long) }
+
+        fun ahead(arriving: Waiter, long: Boolean?): Int {
             val own = arriving.plan.request.organisation
-            val position = flows[own]?.size ?: 0
+            val position = flows[own]?.count(long) ?: 0
             return position + flows.filterKeys { it != own }.values.sumOf { flow ->
-                minOf(flow.size.toDouble(), (position + 1.0) * flow.weight / arriving.plan.weight)
+                minOf(flow.count(long), (position + 1) * flow.weight / arriving.plan.weight)
             }
         }
     }
@@ -130,6 +135,12 @@
         val size: Int get() = short.size + long.size
         val share: Double get() = size.toDouble() / weight
 
+        fun count(ofLong: Boolean?): Int = when (ofLong) {
+            null -> size
+            true -> long.size
+            false -> short.size
+        }
+
         fun of(waiter: Waiter): ArrayDeque<Waiter> = if (waiter.long) long else short
 
         fun finishTime(waiter: Waiter): Double = virtualTime + waiter.cost / weight
