Keep slots for short requests and test target selection

Cause: long requests could use their part of the work and 15% more, so at this load short ones had fewer slots than they needed; and among waiting requests of an organisation the oldest was first, whatever its length. Now the share is the part of the work without headroom, rounded down over all targets, and a waiting request is due after its arrival plus its expected service time, at most half the queue time.

--- a/core/src/main/kotlin/boragering/core/EntryTargets.kt
+++ b/core/src/main/kotlin/boragering/core/EntryTargets.kt
@@ -40,13 +40,13 @@
             candidates.filter { candidate ->
                 val load = loads.getValue(candidate.group)
                 load.ejectedUntil <= now && load.free(candidate, now) > 0 &&
-                    (!long || !confineLong || load.longInFlight < maxOf(1, (candidate.slots * longShare).toInt()))
+                    (!long || !confineLong || load.longInFlight < maxOf(1, ceil(candidate.slots * longShare).toInt()))
             }
         }
 
     /** Whether long requests have used up their share, so that they wait apart from short ones. */
     fun longBlocked(longShare: Double): Boolean = confineLong &&
-        loads.values.sumOf { it.longInFlight } >= ceil(longShare * candidates.sumOf { it.slots })
+        loads.values.sumOf { it.longInFlight } >= maxOf(1, (longShare * candidates.sumOf { it.slots }).toInt())
 
     /** Counts a request that starts on [candidate]. */
     fun started(candidate: Candidate, long: Boolean, now: Duration) {
--- a/core/src/main/kotlin/boragering/core/RequestLengths.kt
+++ b/core/src/main/kotlin/boragering/core/RequestLengths.kt
@@ -106,7 +106,7 @@
         /** Before lengths are known, requests that may use more than half of the output limit count as long. */
         const val UNKNOWN_TYPICAL_PART = 8
         const val SHORTEST_LONG = 32
-        const val HEADROOM = 1.15
+        const val HEADROOM = 1.0
         const val LOWEST_SHARE = 0.1
         const val HIGHEST_SHARE = 0.75
         const val ONLY_LONG = 0.98
--- a/core/src/main/kotlin/boragering/core/WaitQueue.kt
+++ b/core/src/main/kotlin/boragering/core/WaitQueue.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import kotlinx.coroutines.CompletableDeferred
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** A request that waits for a slot. [cost] is its expected service time relative to others. */
 internal class Waiter(val plan: RequestPlan, val long: Boolean, val cost: Double, val avoid: Set<GroupId>) {
@@ -146,10 +147,12 @@
         fun finishTime(waiter: Waiter): Double = virtualTime + waiter.cost / weight
 
         fun head(onlyShort: Boolean): Waiter? =
-            listOfNotNull(short.firstOrNull(), long.firstOrNull().takeUnless { onlyShort }).minByOrNull(::arrival)
+            listOfNotNull(short.firstOrNull(), long.firstOrNull().takeUnless { onlyShort }).minByOrNull(::due)
 
-        fun newest(): Waiter? = listOfNotNull(short.lastOrNull(), long.lastOrNull()).maxByOrNull(::arrival)
+        fun newest(): Waiter? = listOfNotNull(short.lastOrNull(), long.lastOrNull()).maxByOrNull { it.plan.arrivedAt }
 
-        private fun arrival(waiter: Waiter): Duration = waiter.plan.arrivedAt
+        /** A request with a long service time can wait longer, but not so long that it is given up. */
+        private fun due(waiter: Waiter): Duration =
+            waiter.plan.arrivedAt + minOf(waiter.cost.seconds, waiter.plan.entry.limits.queueTime / 2)
     }
 }
--- a/core/src/test/kotlin/boragering/core/FakeTarget.kt
+++ b/core/src/test/kotlin/boragering/core/FakeTarget.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** What a target does with one call. */
@@ -34,6 +35,12 @@
     var workTime = 10.milliseconds
     var status = CREATED
 
+    /** Work time and number of events of a request, when they differ between requests. */
+    var work: (TargetCall) -> Pair<Duration, Int> = { workTime to 2 }
+
+    /** Time to the first part of an answer, at most the work time. */
+    var firstPart: (TargetCall) -> Duration = { 100.milliseconds }
+
     override suspend fun send(call: TargetCall, receive: suspend (AnswerPart) -> Unit): Either<TargetFailure, Unit> {
         sent.add(call)
         val fault = faults[sent.size] ?: always
@@ -64,8 +71,9 @@
         }
         else -> {
             runs.add(call)
-            delay(workTime)
-            if (fault == TargetFault.BROKEN_AFTER_RUN) broken() else parts(call, fault, receive)
+            val (time, events) = work(call)
+            delay(if (fault == TargetFault.BROKEN_AFTER_RUN) time else minOf(time, firstPart(call)))
+            if (fault == TargetFault.BROKEN_AFTER_RUN) broken() else parts(call, fault, time to events, receive)
         }
     }
 
@@ -74,26 +82,31 @@
     private suspend fun parts(
         call: TargetCall,
         fault: TargetFault?,
+        work: Pair<Duration, Int>,
         receive: suspend (AnswerPart) -> Unit,
     ): Either<TargetFailure, Unit> {
         val type = if (stream) "text/event-stream" else "application/json"
         receive(AnswerPart.Start(status, persistentListOf(Header("Content-Type", type))))
-        val parts = parts(call.request.value, fault)
-        parts.take(if (fault == TargetFault.BROKEN_MIDWAY) 1 else parts.size).forEach { receive(it) }
+        val parts = parts(call.request.value, fault, work.second)
+        receive(parts.first())
+        delay((work.first - firstPart(call)).coerceAtLeast(Duration.ZERO))
+        if (fault != TargetFault.BROKEN_MIDWAY) parts.drop(1).forEach { receive(it) }
         return if (fault == TargetFault.BROKEN_MIDWAY) broken() else Unit.right()
     }
 
-    private fun parts(identity: String, fault: TargetFault?): List<AnswerPart> = when {
+    private fun parts(identity: String, fault: TargetFault?, events: Int): List<AnswerPart> = when {
         !stream -> listOf(AnswerPart.Body(Bytes.of("{\"booked\":")), AnswerPart.Body(Bytes.of("true}")))
         fault == TargetFault.FOREIGN -> events("another")
         fault == TargetFault.LEAKED -> events("another").take(1) + events(identity)
-        else -> events(identity)
+        else -> events(identity, events)
     }
 
-    private fun events(identity: String): List<AnswerPart> = listOf(
-        AnswerPart.Event(identity, "{\"id\":\"$identity\",\"choices\":[{\"delta\":{\"content\":\"hail\"}}]}"),
-        AnswerPart.Event(identity, "{\"id\":\"$identity\",\"choices\":[{\"finish_reason\":\"stop\"}]}"),
-    )
+    private fun events(identity: String, count: Int = 2): List<AnswerPart> {
+        fun event(choice: String) = AnswerPart.Event(identity, "{\"id\":\"$identity\",\"choices\":[{$choice}]}")
+        val content = event("\"delta\":{\"content\":\"hail\"}")
+        val last = event("\"finish_reason\":\"stop\"")
+        return List(count - 1) { content } + last
+    }
 
     private companion object {
         const val CREATED = 201
--- a/core/src/test/kotlin/boragering/core/RequestWorld.kt
+++ b/core/src/test/kotlin/boragering/core/RequestWorld.kt
@@ -17,7 +17,13 @@
 
 /** Daemons with a common store and common targets, on virtual time. */
 @OptIn(ExperimentalCoroutinesApi::class)
-class RequestWorld(private val scope: TestScope, entry: Entry, val seed: Int = 1, daemons: Int = 1) {
+class RequestWorld(
+    private val scope: TestScope,
+    entry: Entry,
+    val seed: Int = 1,
+    daemons: Int = 1,
+    selection: ReplicaSelection = ReplicaSelection.PowerOfTwoChoices,
+) {
     val store = FakeStore(scope.backgroundScope)
     val target = FakeTarget(scope.backgroundScope, stream = entry is ModelEntry)
     val directory = FakeDirectory(entry.name)
@@ -30,7 +36,7 @@
         override fun monotonic(): Duration = scope.testScheduler.currentTime.milliseconds
     }
     private val registrations = List(daemons) { registration("daemon-$it") }
-    val daemons = registrations.map { FakeDaemon(ports(it)) }
+    val daemons = registrations.map { FakeDaemon(ports(it), selection) }
     private var requests = 0
 
     /** Sends a request of [organisation] through the daemon with index [daemon] and waits for its end. */
@@ -80,7 +86,7 @@
         Registration(DaemonId(name), "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", AvailabilityZone("sapporo"), "dounai")
 
     /** The request logic of one daemon. */
-    inner class FakeDaemon(val ports: RequestPorts, selection: ReplicaSelection = ReplicaSelection.PowerOfTwoChoices) {
+    inner class FakeDaemon(val ports: RequestPorts, selection: ReplicaSelection) {
         val admission = Admission(ports, selection)
         val ledger = ClaimLedger(ports, scope.backgroundScope)
         val executor = RequestExecutor(ports, ledger, admission)
