Close the claim of a caller that leaves as its claim is written

A caller that was cancelled in the moment in which its claim was written never learned of it, and the claim stayed pending for the retention: further requests with the key were refused as in progress. The shard now closes such a claim as not run.

Also: a fault of the caller's own connection cancels the request instead of counting as the target's; a whole answer of a model in one body is held only up to 4 MiB; the share of long requests is divided among the daemons that hold a group; "not run" for an unclaimed request with a key says that it is not about earlier requests with the key.

--- a/core/src/main/kotlin/boragering/core/AdmissionPolicy.kt
+++ b/core/src/main/kotlin/boragering/core/AdmissionPolicy.kt
@@ -18,6 +18,10 @@
     fun share(limit: Int): Int =
         ceil(limit.toDouble() / ports.peers.live.size.coerceAtLeast(1)).toInt()
 
+    /** The share of all slots that this daemon's long requests may use; the daemons that hold a group divide it. */
+    fun longShare(now: Duration): Double =
+        lengths.longShare(now) / ports.peers.live.size.coerceIn(1, HOLDERS_PER_GROUP)
+
     /** Why [waiter] cannot wait; `null` when it can, possibly because another request gave way to it. */
     fun refusal(waiter: Waiter, running: Collection<Slot>): Problem? {
         val limits = waiter.plan.entry.limits
@@ -49,6 +53,13 @@
         victim.grant.complete(Problems.overloaded(detail, expectedWait(victim, running)).left())
     }
 
-    private fun expectedWait(waiter: Waiter, running: Collection<Slot>): Duration =
-        estimate.of(waiter, running, share(waiter.plan.entry.limits.concurrency))
+    private fun expectedWait(waiter: Waiter, running: Collection<Slot>): Duration {
+        val limit = share(waiter.plan.entry.limits.concurrency)
+        return estimate.of(waiter, running, limit, longShare(ports.clock.monotonic()))
+    }
+
+    private companion object {
+        /** At most this many daemons send requests to one group. */
+        const val HOLDERS_PER_GROUP = 6
+    }
 }
--- a/core/src/main/kotlin/boragering/core/AnswerRelay.kt
+++ b/core/src/main/kotlin/boragering/core/AnswerRelay.kt
@@ -1,5 +1,7 @@
 package boragering.core
 
+import kotlinx.coroutines.CancellationException
+import java.io.IOException
 import kotlin.time.Duration
 
 /** What became of an attempt's answer when the target sent its end. */
@@ -104,15 +106,20 @@
         firstPartAt = firstPartAt ?: clock.monotonic()
         if (part is AnswerPart.Event) finishSeen = finishSeen || AnswerContent.finishes(part)
         kept.add(part)
-        held.add(part)
+        if (heldBytes <= MAXIMUM_CHECKED) held.add(part)
         heldBytes += (part as? AnswerPart.Body)?.bytes?.size ?: 0
         val replaceable = fault && plan.repeatable && !started && heldBytes <= MAXIMUM_HELD
         if (!checkedBody() && !replaceable) flush()
     }
 
+    /** A fault of the caller's connection must not be taken for one of the target's. */
     private suspend fun pass(part: AnswerPart) {
         started = true
-        receive(part)
+        try {
+            receive(part)
+        } catch (failure: IOException) {
+            throw CancellationException("the caller's connection failed", failure)
+        }
     }
 
     private fun drop() {
@@ -125,13 +132,16 @@
         start?.let { AnswerContent.type(it) }.orEmpty().startsWith(JSON_TYPE)
 
     private fun bodyIsOwn(): Boolean {
-        val own = AnswerContent.statedIdentity(held) == identity
+        val own = heldBytes <= MAXIMUM_CHECKED && AnswerContent.statedIdentity(held) == identity
         if (!own) drop()
         return own
     }
 
     private companion object {
         const val MAXIMUM_HELD = 64 * 1024
+
+        /** A longer answer in one body cannot be checked and counts as not whole; streams have no such bound. */
+        const val MAXIMUM_CHECKED = 4 * 1024 * 1024
         const val SERVER_ERROR = 500
         val SUCCESS = 200..299
         const val EVENT_STREAM = "text/event-stream"
--- a/core/src/main/kotlin/boragering/core/ClaimShard.kt
+++ b/core/src/main/kotlin/boragering/core/ClaimShard.kt
@@ -46,9 +46,13 @@
         enqueue(submitted)
         var result: ClaimResult? = null
         try {
-            result = withTimeoutOrNull(within) { submitted.result.await() }
+            result = withTimeoutOrNull(within) { submitted.result.await() } ?: abandon(submitted)
         } finally {
-            if (result == null) result = abandon(submitted)
+            // The caller was cancelled: a claim that it can no longer learn of is closed as not run.
+            val claimed = result == null && abandon(submitted) == ClaimResult.Written
+            if (claimed && operation is ClaimOperation.Open) {
+                submitLater(ClaimOperation.Close(operation.claim, ClaimState.NotRun))
+            }
         }
         return checkNotNull(result)
     }
--- a/core/src/main/kotlin/boragering/core/EntryState.kt
+++ b/core/src/main/kotlin/boragering/core/EntryState.kt
@@ -44,7 +44,7 @@
     /** Gives free slots to waiting requests. */
     fun grant() {
         val now = now()
-        val longShare = lengths.longShare(now)
+        val longShare = policy.longShare(now)
         queue.takeWhile { waiter ->
             val allowed = running.size < policy.share(checkNotNull(limits).concurrency)
             val candidate = if (allowed) targets.place(waiter.long, longShare, waiter.avoid, now) else null
--- a/core/src/main/kotlin/boragering/core/EntryTargets.kt
+++ b/core/src/main/kotlin/boragering/core/EntryTargets.kt
@@ -1,6 +1,7 @@
 package boragering.core
 
 import kotlin.math.ceil
+import kotlin.math.roundToInt
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -46,7 +47,7 @@
 
     /** Whether long requests have used up their share, so that they wait apart from short ones. */
     fun longBlocked(longShare: Double): Boolean = confineLong &&
-        loads.values.sumOf { it.longInFlight } >= maxOf(1, (longShare * candidates.sumOf { it.slots }).toInt())
+        loads.values.sumOf { it.longInFlight } >= maxOf(1, (longShare * candidates.sumOf { it.slots }).roundToInt())
 
     /** Counts a request that starts on [candidate]. */
     fun started(candidate: Candidate, long: Boolean, now: Duration) {
--- a/core/src/main/kotlin/boragering/core/Problems.kt
+++ b/core/src/main/kotlin/boragering/core/Problems.kt
@@ -114,6 +114,17 @@
         RETRY_WITHOUT_TARGET,
     )
 
+    /**
+     * Completes [problem] of a request that was not claimed: "not run" is about this request only, while an earlier one
+     * with the same key may have run.
+     */
+    fun forKey(problem: Problem, request: CallerRequest): Problem =
+        if (request.idempotencyKey == null || problem.outcome != Outcome.NOT_RUN) {
+            problem
+        } else {
+            problem.copy(detail = "${problem.detail}; earlier requests with this Idempotency-Key may have run")
+        }
+
     /** Whole seconds to wait, rounded up, at least one. */
     private fun seconds(wait: Duration): Int = ceil(wait.toDouble(DurationUnit.SECONDS)).toInt().coerceAtLeast(1)
 
--- a/core/src/main/kotlin/boragering/core/RequestClaim.kt
+++ b/core/src/main/kotlin/boragering/core/RequestClaim.kt
@@ -10,6 +10,9 @@
     /** Whether a target may have run the request, or may still run it. */
     var mayHaveRun = false
 
+    /** Whether the request was claimed. */
+    val held: Boolean get() = claim != null
+
     /** Claims the request if it is not repeatable; `null` when it is not needed or was done before. */
     suspend fun open(within: Duration): Opened? {
         val key = plan.request.idempotencyKey
--- a/core/src/main/kotlin/boragering/core/WaitEstimate.kt
+++ b/core/src/main/kotlin/boragering/core/WaitEstimate.kt
@@ -12,11 +12,11 @@
 ) {
     /**
      * Time until [waiter] gets a slot if it is queued now, while [running] hold the entry's slots, of which there may
-     * be [limit]. Zero when there is room, or when it is not known how long requests take.
+     * be [limit], long ones in [longShare] of the targets' slots. Zero when there is room, or when it is not known how
+     * long requests take.
      */
-    fun of(waiter: Waiter, running: Collection<Slot>, limit: Int): Duration {
+    fun of(waiter: Waiter, running: Collection<Slot>, limit: Int, longShare: Double): Duration {
         val now = clock.monotonic()
-        val longShare = lengths.longShare(now)
         // While long requests have used up their share, they and the short ones wait for different slots.
         val kind = waiter.long.takeIf { targets.longBlocked(longShare) }
         val ahead = queue.ahead(waiter, kind)
