--- a/core/src/main/kotlin/boragering/core/RequestLengths.kt
+++ b/core/src/main/kotlin/boragering/core/RequestLengths.kt
@@ -39,7 +39,10 @@
     fun arrived(long: Boolean, now: Duration) = demand.getValue(long).add(now, cost(long))
 
     /** The expected service time in seconds of a long or short request, one second while unknown. */
-    fun cost(long: Boolean): Double = durations.getValue(long).takeIf { it.samples > 0 }?.value ?: 1.0
+    fun cost(long: Boolean): Double = knownDuration(long) ?: 1.0
+
+    /** The service time in seconds of long or short requests, `null` while unknown. */
+    fun knownDuration(long: Boolean): Double? = durations.getValue(long).takeIf { it.samples > 0 }?.value
 
     /** The mean service time in seconds of recent requests, `null` while unknown. */
     fun meanDuration(now: Duration): Double? {
@@ -103,7 +106,7 @@
         /** Before lengths are known, requests that may use more than half of the output limit count as long. */
         const val UNKNOWN_TYPICAL_PART = 8
         const val SHORTEST_LONG = 32
-        const val HEADROOM = 1.15
+        const val HEADROOM = 1.0
         const val LOWEST_SHARE = 0.1
         const val HIGHEST_SHARE = 0.75
         const val ONLY_LONG = 0.98
