Test the controller of domains in virtual time

A platform in memory with engines, a store, a live list and links runs the real controllers in virtual time.

The test of a lasting shortage found a fault: the event that a shortage is over was lost when it ended in the same step as another change, because the book forgot the finding before its note was made. The book now keeps what it noted until the note is written.

--- a/core/src/main/kotlin/boragering/core/DomainPlanner.kt
+++ b/core/src/main/kotlin/boragering/core/DomainPlanner.kt
@@ -61,7 +61,7 @@
         findings.update(plan.findings, now)
         val following = if (plan.next == null) present else write(present, plan, plan.next)
         if (following == null) return
-        if (plan.next != null) findings.recorded(now, announces)
+        if (plan.next != null) findings.recorded()
         sendOrders(plan.orders, following)
     }
 
--- a/core/src/main/kotlin/boragering/core/FindingBook.kt
+++ b/core/src/main/kotlin/boragering/core/FindingBook.kt
@@ -9,7 +9,8 @@
 /** The findings about one domain, with the time since which each lasts; used by one coroutine, read by others. */
 internal class FindingBook {
     private val seen = HashMap<FindingKey, SeenFinding>()
-    private val noted = HashSet<FindingKey>()
+    private var noted = emptySet<FindingKey>()
+    private var pending = emptySet<FindingKey>()
 
     /** The findings of the last update, with the time since which they last. */
     @Volatile
@@ -27,20 +28,20 @@
 
     /** Notes for the division's events about findings that last, and about those that are gone, of [relevant] ones. */
     fun notes(now: Duration, relevant: (FindingKey) -> Boolean): PersistentList<PlanningNote> {
-        val lasting = lasting(now).filter { it !in noted && relevant(it) }
-            .map { PlanningNote(it.entry, "cannot be repaired: ${it.reason}") }
-        val gone = noted.filter { it !in seen }.map { PlanningNote(it.entry, "no longer the case: ${it.reason}") }
-        return (lasting + gone).toPersistentList()
+        val lasting = seen.filterValues { now - it.at >= LASTING }.keys.filter { it !in noted && relevant(it) }
+        val gone = noted.filter { it !in seen }
+        pending = noted - gone.toSet() + lasting
+        return (
+            lasting.map { PlanningNote(it.entry, "cannot be repaired: ${it.reason}") } +
+                gone.map { PlanningNote(it.entry, "no longer the case: ${it.reason}") }
+            ).toPersistentList()
     }
 
-    /** States that the notes of [now] are recorded. */
-    fun recorded(now: Duration, relevant: (FindingKey) -> Boolean) {
-        noted.retainAll(seen.keys)
-        noted += lasting(now).filter(relevant)
+    /** States that the last notes are recorded. */
+    fun recorded() {
+        noted = pending
     }
 
-    private fun lasting(now: Duration): List<FindingKey> = seen.filterValues { now - it.at >= LASTING }.keys.toList()
-
     private class SeenFinding(val at: Duration, val sinceMilliseconds: Long)
 
     private companion object {
--- /dev/null
+++ b/core/src/test/kotlin/boragering/core/DomainControllerTest.kt
@@ -0,0 +1,281 @@
+package boragering.core
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainAll
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.collections.shouldNotBeEmpty
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.runTest
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class DomainControllerTest : DescribeSpec({
+    describe("groups of engines") {
+        it("become whole (guards against orders that are never sent)") {
+            runTest {
+                val world = groupWorld(domains = 1, perDomain = 5)
+                val daemon = world.daemon("d1")
+                world.await("two whole groups") { daemon.candidates().size == 2 }
+                world.groups().flatMap { it.members }.distinctBy { it.instance } shouldHaveSize 4
+            }
+        }
+
+        it("are repaired with a spare instance when a member is lost (guards against idle survivors)") {
+            runTest {
+                val world = groupWorld(domains = 1, perDomain = 5)
+                val daemon = world.daemon("d1")
+                world.await("two whole groups") { daemon.candidates().size == 2 }
+                val before = world.groups().first()
+                world.follower(before).reachable = false
+                delay(EXPOSURE)
+                daemon.candidates().map { it.group } shouldBe world.groups().drop(1).map { it.id }
+                world.await("repaired", 15.seconds) { daemon.candidates().size == 2 }
+                val after = world.groups().first { it.id == before.id }
+                (after.fence > before.fence) shouldBe true
+                after.leader shouldBe before.leader
+            }
+        }
+
+        it("are dissolved for one another without spares (guards against stranded instances)") {
+            runTest {
+                val world = groupWorld(domains = 1, perDomain = 4)
+                val daemon = world.daemon("d1")
+                world.await("two whole groups") { daemon.candidates().size == 2 }
+                world.groups().forEach { world.follower(it).reachable = false }
+                delay(EXPOSURE)
+                daemon.candidates().shouldBeEmpty()
+                world.await("one whole group", 15.seconds) { daemon.candidates().size == 1 }
+                world.groups() shouldHaveSize 1
+                daemon.controller.findings().map { it.entry }.distinct() shouldBe listOf(EntryName("m"))
+            }
+        }
+
+        it("get a restarted member back under a new fencing number (guards against stale membership)") {
+            runTest {
+                val world = groupWorld(domains = 1, perDomain = 4)
+                val daemon = world.daemon("d1")
+                world.await("two whole groups") { daemon.candidates().size == 2 }
+                val before = world.groups().first()
+                world.follower(before).restart()
+                world.await("not a candidate", EXPOSURE) { daemon.candidates().none { it.group == before.id } }
+                world.await("repaired", 10.seconds) { daemon.candidates().size == 2 }
+                world.groups().first { it.id == before.id }.fence shouldNotBe before.fence
+            }
+        }
+
+        it("recover from a late order to an engine that ignores fencing (guards against split groups)") {
+            runTest {
+                val world = groupWorld(domains = 1, perDomain = 4)
+                val daemon = world.daemon("d1")
+                world.await("two whole groups") { daemon.candidates().size == 2 }
+                val group = world.groups().first()
+                val engine = world.follower(group).also { it.enforcesFencing = false }
+                engine.take(Order.Load(GroupId("old"), Fence(0), "x", "1", emptyList(), engine.id))
+                world.await("not a candidate", EXPOSURE) { daemon.candidates().none { it.group == group.id } }
+                world.await("whole again", 10.seconds) { daemon.candidates().any { it.group == group.id } }
+                engine.report().fence shouldBe group.fence
+            }
+        }
+
+        it("are replaced before they drain when the version changes (guards against downtime)") {
+            runTest {
+                val world = groupWorld(domains = 1, perDomain = 6)
+                val daemon = world.daemon("d1")
+                world.await("two whole groups") { daemon.candidates().size == 2 }
+                world.catalogue = catalogueOf(modelEntry(version = "2"))
+                world.await("only the new version") {
+                    daemon.candidates().size.also { it shouldNotBe 0 } == 2 &&
+                        world.groups().all { it.modelVersion == "2" && it.phase == GroupPhase.Active }
+                }
+            }
+        }
+
+        it("move to another domain when theirs is down (guards against counting dead instances as spare)") {
+            runTest {
+                val world = groupWorld(domains = 2, perDomain = 4)
+                val daemon = world.daemon("d1")
+                world.await("two whole groups") { daemon.candidates().size == 2 }
+                world.groups().map { it.id.value.substringAfter('.').take(2) }.toSet() shouldBe setOf("f1", "f2")
+                world.engines.values.filter { it.domain == "f1" }.forEach { it.reachable = false }
+                world.await("two whole groups in f2") {
+                    daemon.candidates().size == 2 && world.division("f2")?.groups?.size == 2
+                }
+                world.division("f1")?.groups.orEmpty().shouldBeEmpty()
+            }
+        }
+
+        it("are tried again when a member does not load (guards against groups that never become whole)") {
+            runTest {
+                val world = groupWorld(domains = 1, perDomain = 3)
+                world.catalogue = catalogueOf(modelEntry(replicas = 1))
+                world.engines.getValue("i1-2:1").loads = false
+                val daemon = world.daemon("d1")
+                world.await("a whole group", LOAD_LIMIT) { daemon.candidates().size == 1 }
+                world.groups().single().members.map { it.instance.value }.toSet() shouldBe setOf("i1-1", "i1-3")
+            }
+        }
+    }
+
+    describe("draining") {
+        it("keeps a group whose leader reports work (guards against interrupted requests)") {
+            runTest {
+                val world = groupWorld(domains = 1, perDomain = 4)
+                val daemon = world.daemon("d1")
+                world.await("two whole groups") { daemon.candidates().size == 2 }
+                world.engines.values.forEach { it.running = 1 }
+                world.catalogue = catalogueOf(modelEntry(replicas = 1))
+                world.await("one candidate", 15.seconds) { daemon.candidates().size == 1 }
+                delay(LONG)
+                world.groups() shouldHaveSize 2
+                world.engines.values.flatMap { it.orders }.filterIsInstance<Order.Release>().shouldBeEmpty()
+                world.engines.values.forEach { it.running = 0 }
+                world.await("removed and released", 10.seconds) {
+                    world.groups().size == 1 && world.engines.values.count { it.report().group == null } == 2
+                }
+            }
+        }
+
+        listOf<Pair<String, (WorldEngine) -> Unit>>(
+            "the live list" to { it.listedLeaving = true },
+            "its own report" to { it.leaving = true },
+        ).forEach { (sign, leave) ->
+            it("begins when $sign says that a member leaves (guards against new work for a leaving target)") {
+                runTest {
+                    val world = groupWorld(domains = 1, perDomain = 6)
+                    val daemon = world.daemon("d1")
+                    world.await("two whole groups") { daemon.candidates().size == 2 }
+                    val group = world.groups().first()
+                    leave(world.follower(group))
+                    delay(LEAVING_LIMIT)
+                    daemon.candidates().map { it.group }.contains(group.id) shouldBe false
+                    world.await("replaced", 10.seconds) { daemon.candidates().size == 2 }
+                }
+            }
+        }
+    }
+
+    describe("a holder that is not the planner") {
+        it("does not count summaries of a stalled link (guards against late evidence)") {
+            runTest {
+                val world = groupWorld(domains = 1, perDomain = 4)
+                val (planner, holder) = world.plannerAndHolder()
+                holder.reaches = { false }
+                world.await("two whole groups") { holder.candidates().size == 2 }
+                planner.stall = LONG
+                world.engines.values.first().reachable = false
+                delay(EXPOSURE)
+                holder.candidates().shouldBeEmpty()
+                repeat(LONG_STEPS) {
+                    delay(GroupWorld.STEP)
+                    holder.candidates().shouldBeEmpty()
+                }
+            }
+        }
+
+        it("polls by itself when the planner is cut off (guards against outages by a lost planner)") {
+            runTest {
+                val world = groupWorld(domains = 1, perDomain = 4)
+                val (planner, holder) = world.plannerAndHolder()
+                world.await("two whole groups") { holder.candidates().size == 2 }
+                planner.reaches = { false }
+                planner.stall = LONG
+                // The planner finds all members silent after five seconds, so the store is cut off for it as well.
+                world.store.fault = { StoreFault.NOT_APPLIED }
+                repeat(LONG_STEPS) {
+                    delay(GroupWorld.STEP)
+                    holder.candidates() shouldHaveSize 2
+                }
+            }
+        }
+    }
+
+    describe("without the store") {
+        it("keeps serving, changes nothing and sends no orders (guards against unconfirmed orders)") {
+            runTest {
+                val world = groupWorld(domains = 1, perDomain = 5)
+                val daemon = world.daemon("d1")
+                world.await("two whole groups") { daemon.candidates().size == 2 }
+                delay(LONG)
+                world.store.fault = { StoreFault.NOT_APPLIED }
+                val orders = world.engines.values.sumOf { it.orders.size }
+                val lost = world.follower(world.groups().first())
+                lost.reachable = false
+                delay(LONG)
+                daemon.candidates() shouldHaveSize 1
+                world.engines.values.sumOf { it.orders.size } shouldBe orders
+                world.store.fault = { StoreFault.NONE }
+                world.await("repaired", 15.seconds) { daemon.candidates().size == 2 }
+            }
+        }
+    }
+
+    describe("instances of a plain service") {
+        it("are groups of one that drain when they leave (guards against orders to services)") {
+            runTest {
+                val world = GroupWorld(this, catalogueOf(serviceEntry()))
+                repeat(3) { world.engine("s$it", "f$it", pool = "service") }
+                val daemon = world.daemon("d1")
+                world.await("three instances") { daemon.candidates("s").size == 3 }
+                world.engines.getValue("s1:1").leaving = true
+                world.await("two instances", LEAVING_LIMIT) { daemon.candidates("s").size == 2 }
+                world.await("removed", 15.seconds) { world.groups().size == 2 }
+                world.engines.values.flatMap { it.orders }.shouldBeEmpty()
+            }
+        }
+    }
+
+    describe("a lagging live list") {
+        it("does not make groups flap when it misses an instance briefly (guards against needless repairs)") {
+            runTest {
+                val world = groupWorld(domains = 1, perDomain = 5)
+                val daemon = world.daemon("d1")
+                world.await("two whole groups") { daemon.candidates().size == 2 }
+                val before = world.groups()
+                world.listed = { it.id.value != before.first().leader.value }
+                delay(EXPOSURE)
+                world.listed = { true }
+                delay(LONG)
+                world.groups() shouldBe before
+            }
+        }
+    }
+
+    describe("a lasting shortage") {
+        it("is recorded in the division's events and among the findings (guards against silent shortages)") {
+            runTest {
+                val world = groupWorld(domains = 1, perDomain = 3)
+                val daemon = world.daemon("d1")
+                world.await("an event") {
+                    world.division("f1")?.events.orEmpty().any { it.text.startsWith("cannot be repaired") }
+                }
+                daemon.controller.findings().shouldNotBeEmpty()
+                world.engine("i1-4", "f1")
+                world.await("two whole groups") { daemon.candidates().size == 2 }
+                delay(LONG)
+                daemon.controller.findings().shouldBeEmpty()
+                world.division("f1")?.events.orEmpty().map { it.text.substringBefore(':') } shouldContainAll
+                    listOf("no longer the case")
+            }
+        }
+    }
+}) {
+    private companion object {
+        /** The evidence limit plus the time until a poll shows the change. */
+        val EXPOSURE = 2.6.seconds
+        val LEAVING_LIMIT = 3.seconds
+        val LONG = 20.seconds
+        val LOAD_LIMIT = 620.seconds
+        val LONG_STEPS = (LONG / 50.milliseconds).toInt()
+    }
+}
+
+private fun GroupWorld.follower(group: Group): WorldEngine =
+    engines.values.first { engine -> group.members.any { it.instance == engine.id && it.instance != group.leader } }
+
+private fun GroupWorld.plannerAndHolder(): Pair<WorldDaemon, WorldDaemon> {
+    val both = listOf(daemon("d1", "d2"), daemon("d2", "d1"))
+    return both.first { it.peers.plans(FabricDomain("f1")) } to both.first { !it.peers.plans(FabricDomain("f1")) }
+}
--- /dev/null
+++ b/core/src/test/kotlin/boragering/core/GroupWorld.kt
@@ -0,0 +1,309 @@
+package boragering.core
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What the store of a [GroupWorld] does with one call. */
+internal enum class StoreFault { NONE, NOT_APPLIED, RESPONSE_LOST, APPLIED_LATE }
+
+/** A platform in memory, with daemons that run controllers, in virtual time. */
+internal class GroupWorld(private val test: TestScope, var catalogue: Catalogue = catalogueOf(modelEntry())) {
+    val scope: CoroutineScope = test.backgroundScope
+    val engines = LinkedHashMap<String, WorldEngine>()
+    val daemons = ArrayList<WorldDaemon>()
+    val store = WorldStore(this)
+
+    /** Whether the live list shows an instance. */
+    var listed: (WorldEngine) -> Boolean = { true }
+
+    val clock = object : Clock {
+        override fun wallMilliseconds(): Long = WALL_START + test.testScheduler.currentTime
+        override fun monotonic(): Duration = 1.hours + test.testScheduler.currentTime.milliseconds
+    }
+
+    fun engine(name: String, domain: String, pool: String = "gpu"): WorldEngine =
+        WorldEngine(name, domain, pool, clock).also { engines[it.address] = it }
+
+    /** A daemon that knows the other [knows] daemons; its controller runs at once. */
+    fun daemon(name: String, vararg knows: String): WorldDaemon =
+        WorldDaemon(this, name, (knows.toList() + name).sorted()).also {
+            daemons += it
+            scope.launch { it.controller.run() }
+        }
+
+    fun division(domain: String): Division? =
+        store.values[Division.key(FabricDomain(domain))]?.let { DivisionDocument.decode(it.value) }
+
+    /** All groups of all stored divisions. */
+    fun groups(): List<Group> =
+        store.values.values.mapNotNull { DivisionDocument.decode(it.value) }.flatMap { it.groups }
+
+    /** Lets virtual time pass until [condition] holds; fails after [limit]. */
+    suspend fun await(what: String, limit: Duration = 60.seconds, condition: () -> Boolean) {
+        val end = clock.monotonic() + limit
+        while (!condition()) {
+            check(clock.monotonic() < end) { "not within $limit: $what; groups ${groups()}" }
+            delay(STEP)
+        }
+    }
+
+    companion object {
+        const val WALL_START = 1_700_000_000_000
+        val STEP = 50.milliseconds
+    }
+}
+
+/** An engine, or an instance of a plain service when [pool] is `service`. */
+internal class WorldEngine(name: String, val domain: String, val pool: String, private val clock: Clock) {
+    val id = InstanceId(name)
+    val address = "$name:1"
+    var incarnation = Incarnation("$name-1")
+    var reachable = true
+    var leaving = false
+    var listedLeaving = false
+    var enforcesFencing = true
+    var loads = true
+    var running = 0
+    val orders = ArrayList<Order>()
+    private var group: GroupId? = null
+    private var fence: Fence? = null
+    private var highest = Fence(0)
+    private var readyAt = Duration.ZERO
+    private var model: Order.Load? = null
+
+    fun report(): InstanceReport {
+        val phase = when {
+            pool == "service" -> InstancePhase.READY
+            group == null -> InstancePhase.IDLE
+            loads && clock.monotonic() >= readyAt -> InstancePhase.READY
+            else -> InstancePhase.LOADING
+        }
+        return InstanceReport(
+            id, incarnation, group, fence, phase, model?.model, model?.modelVersion, running, 0, SLOTS, leaving,
+        )
+    }
+
+    fun take(order: Order): Either<TargetFailure, Unit> {
+        orders += order
+        if (enforcesFencing && order.fence < highest) return TargetFailure.Refused("stale", STALE).left()
+        highest = maxOf(highest, order.fence)
+        if (order is Order.Load) {
+            group = order.group
+            fence = order.fence
+            model = order
+            readyAt = clock.monotonic() + LOAD_TIME
+        } else {
+            group = null
+            fence = null
+        }
+        return Unit.right()
+    }
+
+    fun restart() {
+        incarnation = Incarnation("${incarnation.value}+")
+        group = null
+        fence = null
+        highest = Fence(0)
+        model = null
+    }
+
+    companion object {
+        const val SLOTS = 8
+        const val STALE = 409
+        val LOAD_TIME = 2.seconds
+    }
+}
+
+/** One daemon's ports and state. */
+internal class WorldDaemon(private val world: GroupWorld, name: String, known: List<String>) {
+    val id = DaemonId(name)
+    val events = ArrayList<TimelineEntry>()
+    var stall = Duration.ZERO
+    private val timeline = Timeline { events += it }
+    val items = WorldItems(this, world)
+    val peers = object : Peers {
+        override val self = registration(name)
+        override var live: PersistentList<Registration> = known.map(::registration).toPersistentList()
+    }
+    val divisions = DivisionReplica(items, timeline)
+    private val echoes = EchoBook(world.clock)
+    val health = GroupHealth(peers, divisions, echoes, world.clock)
+    private val link = PeerLink { to, message ->
+        world.scope.launch {
+            delay(LATENCY + stall)
+            world.daemons.firstOrNull { it.id == to }?.receive(id, message)
+        }
+    }
+    private var stamps = 0
+
+    /** Whether this daemon reaches an instance. */
+    var reaches: (WorldEngine) -> Boolean = { true }
+    private val targets = object : Targets {
+        override suspend fun report(address: String) = call(address) { it.report().right() }
+        override suspend fun order(address: String, order: Order) = call(address) { it.take(order) }
+    }
+    private val liveList = object : LiveList {
+        override suspend fun read(): Either<LiveListFailure, PersistentList<ListedInstance>> =
+            world.engines.values.filter(world.listed).map(::listedInstance).toPersistentList().right()
+    }
+    val controller = DomainController(
+        ControllerPorts(world.store, liveList, targets, items, link, timeline, world.clock, ::stamp),
+        ControllerState(peers, { world.catalogue }, divisions, health, echoes),
+    )
+
+    fun candidates(entry: String = "m"): List<Candidate> = health.candidates(EntryName(entry))
+
+    private fun stamp() = HybridTime(world.clock.wallMilliseconds(), stamps++, id)
+
+    private fun receive(from: DaemonId, message: PeerMessage) = when (message) {
+        is PeerMessage.Echo -> echoes.received(from, message)
+        is PeerMessage.GroupSummaries -> health.accept(from, message)
+        else -> Unit
+    }
+
+    private suspend fun <T> call(
+        address: String,
+        use: (WorldEngine) -> Either<TargetFailure, T>,
+    ): Either<TargetFailure, T> {
+        delay(LATENCY)
+        val engine = world.engines[address]
+        if (engine != null && engine.reachable && reaches(engine)) return use(engine)
+        delay(LOST_AFTER)
+        return TargetFailure.TimedOut("no answer").left()
+    }
+
+    private companion object {
+        val LATENCY = 2.milliseconds
+        val LOST_AFTER = 5.seconds
+
+        fun registration(name: String) =
+            Registration(DaemonId(name), "$name:1", "$name:2", "$name:3", AvailabilityZone("z"), "r")
+
+        fun listedInstance(engine: WorldEngine) = ListedInstance(
+            engine.id,
+            engine.address,
+            engine.pool,
+            FabricDomain(engine.domain),
+            AvailabilityZone("z"),
+            if (engine.listedLeaving) ListedState.LEAVING else ListedState.LIVE,
+        )
+    }
+}
+
+/** Items that reach the daemons that know one another after a delay. */
+internal class WorldItems(private val owner: WorldDaemon, private val world: GroupWorld) : Items {
+    private val known = sortedMapOf<String, Item>()
+    private val listeners = ArrayList<Pair<String, (Item) -> Unit>>()
+
+    override fun get(key: String): Item? = known[key]
+
+    override fun all(prefix: String) = known.values.filter { it.key.startsWith(prefix) }.toPersistentList()
+
+    override fun accept(item: Item): Boolean {
+        if ((known[item.key]?.version ?: -1) >= item.version) return false
+        known[item.key] = item
+        listeners.filter { item.key.startsWith(it.first) }.forEach { it.second(item) }
+        world.scope.launch {
+            delay(SPREAD)
+            val live = owner.peers.live.map { it.daemon }
+            world.daemons.filter { it.id != owner.id && it.id in live }.forEach { it.items.accept(item) }
+        }
+        return true
+    }
+
+    override fun listen(prefix: String, listener: (Item) -> Unit) {
+        listeners += prefix to listener
+        all(prefix).forEach(listener)
+    }
+
+    private companion object {
+        val SPREAD = 200.milliseconds
+    }
+}
+
+/** A store whose calls fail as [fault] says; it is given the number of the call, from 0. */
+internal class WorldStore(private val world: GroupWorld) : Store {
+    val values = sortedMapOf<String, StoredValue>()
+    val history = ArrayList<Division>()
+    var fault: (Int) -> StoreFault = { StoreFault.NONE }
+    var calls = 0
+        private set
+    private var revision = 0L
+
+    override suspend fun get(key: String) = answer { values[key] }
+
+    override suspend fun getIfNewer(key: String, revision: StoreRevision) =
+        answer { values[key]?.takeIf { it.revision > revision } }
+
+    override suspend fun range(prefix: String) =
+        answer { values.values.filter { it.key.startsWith(prefix) }.toPersistentList() }
+
+    override suspend fun compareAndSwap(
+        key: String,
+        expected: StoreRevision,
+        value: String,
+        lease: LeaseId?,
+    ): Either<StoreFailure, SwapOutcome> = answer { swap(key, expected, value) }
+
+    override suspend fun compareAndDelete(key: String, expected: StoreRevision) = error("not used")
+
+    override suspend fun grantLease(timeToLive: Duration) = error("not used")
+
+    override suspend fun renewLease(lease: LeaseId) = error("not used")
+
+    override suspend fun revokeLease(lease: LeaseId) = error("not used")
+
+    override suspend fun awaitChange(prefix: String, after: StoreRevision, timeout: Duration) = error("not used")
+
+    private suspend fun <T> answer(effect: () -> T): Either<StoreFailure, T> {
+        val kind = fault(calls++)
+        delay(LATENCY)
+        return when (kind) {
+            StoreFault.NONE -> effect().right()
+            StoreFault.NOT_APPLIED -> StoreFailure.NotApplied("refused").left()
+            StoreFault.RESPONSE_LOST -> {
+                effect()
+                StoreFailure.Uncertain("response lost").left()
+            }
+            StoreFault.APPLIED_LATE -> {
+                world.scope.launch {
+                    delay(LATE)
+                    effect()
+                }
+                StoreFailure.Uncertain("timed out").left()
+            }
+        }
+    }
+
+    private fun swap(key: String, expected: StoreRevision, value: String): SwapOutcome {
+        val current = values[key]
+        if ((current?.revision ?: StoreRevision.NONE) != expected) return SwapOutcome.Conflict(current)
+        val written = StoredValue(key, value, StoreRevision(++revision))
+        values[key] = written
+        DivisionDocument.decode(value)?.let { history += it }
+        return SwapOutcome.Swapped(written.revision)
+    }
+
+    private companion object {
+        val LATENCY = 3.milliseconds
+        val LATE = 400.milliseconds
+    }
+}
+
+/** A world with [domains] domains `f1`, `f2`… of [perDomain] engines each. */
+internal fun TestScope.groupWorld(domains: Int, perDomain: Int): GroupWorld {
+    val world = GroupWorld(this)
+    (1..domains).forEach { domain -> (1..perDomain).forEach { world.engine("i$domain-$it", "f$domain") } }
+    return world
+}
