Add membership with failure detection and leased registration

A daemon's record is an item whose version orders heartbeat and suspicion, so that suspicions, refutations and announced ends travel with the other items. Loss is each daemon's own conclusion 5 s after it learned of a suspicion, so that the records exchanged after a partition do not remove daemons for the time of their refutation.

A daemon that hears no peer for 3 s does not conclude that the others are lost unless the registrations confirm it, or the store is unreachable for 60 s as well: otherwise a cut-off daemon would try to plan every domain.

--- a/core/src/main/kotlin/boragering/core/Dissemination.kt
+++ b/core/src/main/kotlin/boragering/core/Dissemination.kt
@@ -22,8 +22,9 @@
     private val peers: Peers,
     private val link: PeerLink,
     clock: Clock,
-    private val random: Random,
+    random: Random,
 ) {
+    private val random = LockedRandom(random)
     private val lock = ReentrantLock()
     private val rumours = HashMap<String, Int>()
     private val exchange = ItemExchange(items, link, clock)
@@ -62,12 +63,12 @@
 
     private fun randomPeers(count: Int): List<DaemonId> {
         val others = peers.live.map { it.daemon }.filter { it != peers.self.daemon }
-        return lock.withLock { others.shuffled(random) }.take(count)
+        return others.shuffled(random).take(count)
     }
 
     private suspend fun repeatEvery(interval: Duration, action: () -> Unit) {
         while (true) {
-            delay(lock.withLock { random.jittered(interval) })
+            delay(random.jittered(interval))
             action()
         }
     }
@@ -87,9 +88,3 @@
         val COMPARISON_INTERVAL = 2.seconds
     }
 }
-
-/** [interval] multiplied by a random factor from 0.8 to 1.2, so that daemons do not act in step. */
-internal fun Random.jittered(interval: Duration): Duration = interval * (MINIMUM_FACTOR + nextDouble() * FACTOR_RANGE)
-
-private const val MINIMUM_FACTOR = 0.8
-private const val FACTOR_RANGE = 0.4
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/MemberTable.kt
@@ -0,0 +1,120 @@
+package boragering.core
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/** A daemon as this daemon knows it. [since] is when the suspicion or the end was learned of. */
+internal data class KnownDaemon(val record: MemberRecord, val live: Boolean, val since: Duration) {
+    /** Whether the daemon is live but will not be without a refutation. */
+    val suspected: Boolean get() = live && record.state == MemberState.SUSPECTED
+
+    /** Since when the heartbeat of [next] has been suspected; a second report does not prolong a suspicion. */
+    fun suspectedSince(next: MemberRecord): Duration? =
+        since.takeIf { record.state == MemberState.SUSPECTED && record.heartbeat == next.heartbeat }
+}
+
+/**
+ * The daemons other than this one. A daemon becomes live only by a record that it stated itself or by its registration,
+ * and ends to be live [SUSPICION] after the suspicion was learned of, or at once when it announced its end.
+ */
+internal class MemberTable(
+    private val self: Registration,
+    private val items: ItemReplica,
+    private val clock: Clock,
+    private val isolation: Isolation,
+    private val timeline: Timeline,
+) {
+    private val lock = ReentrantLock()
+    private val members = HashMap<DaemonId, KnownDaemon>()
+    private var wasIsolated = false
+
+    /** All live daemons including this one, in order of their ids. */
+    @Volatile
+    var live: PersistentList<Registration> = persistentListOf(self)
+        private set
+
+    fun get(daemon: DaemonId): KnownDaemon? = lock.withLock { members[daemon] }
+
+    /** Daemons that are not live but did not announce their end; they may be behind a partition. */
+    fun lost(): List<KnownDaemon> =
+        lock.withLock { members.values.filter { !it.live && it.record.state != MemberState.LEFT } }
+
+    /** Takes the newest record about another daemon. */
+    fun update(record: MemberRecord) = change {
+        val known = members[record.daemon]
+        val now = clock.monotonic()
+        members[record.daemon] = when (record.state) {
+            MemberState.ALIVE -> KnownDaemon(record, live = true, since = now)
+            MemberState.LEFT -> KnownDaemon(record, live = false, since = now)
+            MemberState.SUSPECTED -> KnownDaemon(record, known?.live == true, known?.suspectedSince(record) ?: now)
+        }
+    }
+
+    /** Ends suspicions that were not refuted in time, and forgets daemons that ended long ago. */
+    fun expire() {
+        val isolated = isolation.isolated()
+        change {
+            if (wasIsolated && !isolated) restartSuspicions()
+            wasIsolated = isolated
+            val now = clock.monotonic()
+            members.replaceAll { _, member ->
+                if (ended(member, isolated)) member.copy(live = false, since = now) else member
+            }
+        }
+        forgetOld()
+    }
+
+    /** Begins suspicions anew after a pause, since refutations could not be received meanwhile. */
+    fun restart() = change { restartSuspicions() }
+
+    /** Drops all members, when they are too old to be a basis. */
+    fun clear() = change { members.clear() }
+
+    private fun restartSuspicions() = members.replaceAll { _, member ->
+        if (member.suspected) member.copy(since = clock.monotonic()) else member
+    }
+
+    private fun ended(member: KnownDaemon, isolated: Boolean): Boolean {
+        val age = clock.monotonic() - member.since
+        return member.suspected && age >= SUSPICION && (!isolated || isolation.confirms(member.record.daemon, age))
+    }
+
+    private fun forgetOld() {
+        val now = clock.monotonic()
+        val old = lock.withLock { members.values.filter { !it.live && now - it.since >= RETENTION } }
+        old.filter { items.forget(it.record.toItem()) }
+            .forEach { member -> lock.withLock { members.remove(member.record.daemon, member) } }
+    }
+
+    private fun change(action: () -> Unit) {
+        val (before, after) = lock.withLock {
+            val before = live
+            action()
+            val all = members.values.filter { it.live }.map { it.record.registration } + self
+            live = all.sortedBy { it.daemon.value }.toPersistentList()
+            before to live
+        }
+        val known = before.map { it.daemon }.toSet()
+        val current = after.map { it.daemon }.toSet()
+        (current - known).forEach { timeline.record(TimelineEntry("daemon-live", "daemon $it is live")) }
+        (known - current).forEach { timeline.record(TimelineEntry("daemon-lost", "daemon $it is no longer live")) }
+    }
+
+    /** Times of the failure detection. */
+    companion object {
+        /** Time from a suspicion to the loss. */
+        val SUSPICION = 5.seconds
+
+        /**
+         * Time for which an ended daemon's record is kept. It exceeds every delay with which an older record could
+         * arrive; a daemon that was paused for half of it drops what it knows.
+         */
+        val RETENTION = 10.minutes
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/Membership.kt
@@ -0,0 +1,124 @@
+package boragering.core
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlin.random.Random
+import kotlin.time.Duration
+
+/** What [Membership] needs of its surroundings; [pauses] is also for the daemon's other loops. */
+class MembershipPorts(
+    val store: Store,
+    val link: PeerLink,
+    val seedLink: SeedLink,
+    val clock: Clock,
+    val timeline: Timeline,
+    val pauses: PauseDetector,
+)
+
+/**
+ * The daemons that are live, from the registrations in the store, from other daemons and from pings. Safe for use by
+ * several threads.
+ *
+ * @param seeds addresses (`host:port`) of other daemons, for a start without the store.
+ */
+class Membership(
+    override val self: Registration,
+    private val items: ItemReplica,
+    private val ports: MembershipPorts,
+    seeds: List<String>,
+    random: Random,
+) : Peers {
+    private val random = LockedRandom(random)
+    private val isolation = Isolation(ports.clock)
+    private val own = OwnRecord(self, items)
+    private val table = MemberTable(self, items, ports.clock, isolation, ports.timeline)
+    private val detector =
+        FailureDetector(self.daemon, Findings(), ports.link, ports.pauses, ports.clock, this.random)
+    private val leaseWake = Wake()
+    private val readWake = Wake()
+    private val lease = RegistrationLease(self, ports.store, this.random, leaseWake)
+    private val reader = RegistrationReader(ports.store, ports.clock, isolation, this.random, readWake)
+    private val contacts = PeerContacts(items, table, ports, seeds, this.random)
+
+    override val live: PersistentList<Registration> get() = table.live
+
+    init {
+        items.listen(Registration.KEY_PREFIX) { item -> MemberRecord.of(item)?.let(::learn) }
+        ports.pauses.listen(::resume)
+        own.publish()
+    }
+
+    /** Runs all loops until cancelled. */
+    suspend fun run(): Unit = coroutineScope {
+        launch { lease.run() }
+        launch { reader.run(::take) }
+        launch { detector.run() }
+        launch { contacts.greetSeeds() }
+        launch { contacts.visitLost() }
+        while (true) {
+            ports.pauses.check()
+            table.expire()
+            delay(PauseDetector.CHECK_INTERVAL)
+        }
+    }
+
+    /** Handles a message of another daemon; messages of other components only show that a peer is reachable. */
+    fun handle(from: DaemonId, message: PeerMessage) {
+        ports.pauses.check()
+        isolation.heard()
+        detector.handle(from, message)
+    }
+
+    /** The address (`host:port`) of another known daemon, live or not. */
+    fun address(daemon: DaemonId): String? = table.get(daemon)?.record?.registration?.peerAddress
+
+    /** Announces this daemon's end to some peers, which pass it on, and ends the registration. Takes about a second. */
+    suspend fun leave() {
+        own.leave()
+        delay(Dissemination.ROUND_INTERVAL * (Dissemination.ROUNDS + 1))
+        lease.end()
+    }
+
+    private fun learn(record: MemberRecord) =
+        if (record.daemon == self.daemon) own.refute(record) else table.update(record)
+
+    /** After a pause, others may have ended what this daemon knows as live, and it may itself count as lost. */
+    private fun resume(gap: Duration) {
+        ports.timeline.record(TimelineEntry("daemon-paused", "daemon ${self.daemon} did not run for $gap"))
+        if (gap >= MemberTable.RETENTION / 2) {
+            items.clear(Registration.KEY_PREFIX)
+            table.clear()
+        }
+        table.restart()
+        own.advance()
+        leaseWake.now()
+        readWake.now()
+    }
+
+    private suspend fun take(registrations: List<Registration>) {
+        registrations.filter { it.daemon != self.daemon }
+            .forEach { items.accept(MemberRecord(it, 0, MemberState.ALIVE).toItem()) }
+        if (self !in registrations) lease.lost()
+    }
+
+    private inner class Findings : Suspects {
+        override fun others(): List<DaemonId> = live.map { it.daemon } - self.daemon
+
+        override fun ownHeartbeat(): Long = own.heartbeat
+
+        override fun answered(daemon: DaemonId, heartbeat: Long) {
+            val known = table.get(daemon)?.record ?: return
+            if (heartbeat > known.heartbeat) {
+                items.accept(known.copy(heartbeat = heartbeat, state = MemberState.ALIVE).toItem())
+            }
+        }
+
+        override fun suspect(daemon: DaemonId) {
+            val known = table.get(daemon)?.record ?: return
+            val suspicion = known.copy(state = MemberState.SUSPECTED)
+            if (items.accept(suspicion.toItem())) contacts.tell(suspicion)
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/OwnRecord.kt
@@ -0,0 +1,41 @@
+package boragering.core
+
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+
+/** What this daemon states about itself. */
+internal class OwnRecord(private val self: Registration, private val items: ItemReplica) {
+    private val lock = ReentrantLock()
+    private var record = MemberRecord(self, 1, MemberState.ALIVE)
+
+    /** The heartbeat last stated. */
+    val heartbeat: Long get() = lock.withLock { record.heartbeat }
+
+    /** States the present record. */
+    fun publish() {
+        items.accept(lock.withLock { record }.toItem())
+    }
+
+    /** Raises the heartbeat, so that a suspicion that arose until now is refuted. */
+    fun advance() = raise(above = 0)
+
+    /** Announces the end; the record cannot change afterwards. */
+    fun leave() {
+        lock.withLock { record = record.copy(state = MemberState.LEFT) }
+        publish()
+    }
+
+    /** Refutes what another daemon states about this one, if it is a suspicion. */
+    fun refute(stated: MemberRecord) {
+        if (stated.state == MemberState.SUSPECTED && stated.heartbeat >= heartbeat) raise(stated.heartbeat)
+    }
+
+    private fun raise(above: Long) {
+        lock.withLock {
+            if (record.state == MemberState.ALIVE) {
+                record = record.copy(heartbeat = maxOf(record.heartbeat, above) + 1)
+            }
+        }
+        publish()
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/RegistrationLease.kt
@@ -0,0 +1,82 @@
+package boragering.core
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.serialization.json.Json
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * This daemon's registration in the store. The lease serves only to list daemons: whether it is held is no evidence
+ * for anything that this daemon does.
+ */
+internal class RegistrationLease(
+    private val self: Registration,
+    private val store: Store,
+    private val random: Random,
+    private val wake: Wake,
+) {
+    private val mutex = Mutex()
+    private var lease: LeaseId? = null
+    private var ended = false
+
+    /** Keeps the registration until cancelled. */
+    suspend fun run() {
+        var failures = 0
+        while (true) {
+            val kept = mutex.withLock { ended || keep() }
+            failures = if (kept) 0 else failures + 1
+            wake.await(random.jittered(if (kept) RENEWAL else backoff(failures)))
+        }
+    }
+
+    /** Writes the registration again, after it was found missing. */
+    suspend fun lost() {
+        mutex.withLock { lease = null }
+        wake.now()
+    }
+
+    /** Ends the registration. */
+    suspend fun end() = mutex.withLock {
+        ended = true
+        lease?.let { store.revokeLease(it) }
+        lease = null
+    }
+
+    private suspend fun keep(): Boolean {
+        val remaining = lease?.let { held -> store.renewLease(held) } ?: Either.Right(Duration.ZERO)
+        return remaining.fold({ false }) { it > Duration.ZERO || register() }
+    }
+
+    private suspend fun register(): Boolean {
+        lease = null
+        val granted = store.grantLease(TIME_TO_LIVE).getOrElse { null } ?: return false
+        val written = write(granted, StoreRevision.NONE)
+        val conflict = (written as? SwapOutcome.Conflict)?.current
+        // The key can exist from a write whose response was lost, with a lease that nobody renews.
+        val outcome = if (conflict == null) written else write(granted, conflict.revision)
+        if (outcome is SwapOutcome.Swapped) lease = granted
+        return lease != null
+    }
+
+    private suspend fun write(granted: LeaseId, expected: StoreRevision): SwapOutcome? =
+        store.compareAndSwap(Registration.key(self.daemon), expected, Json.encodeToString(self), granted)
+            .getOrElse { null }
+
+    private fun backoff(failures: Int): Duration =
+        minOf(FIRST_BACKOFF * (1 shl minOf(failures - 1, MAXIMUM_DOUBLINGS)), LAST_BACKOFF)
+
+    private companion object {
+        val TIME_TO_LIVE = 10.seconds
+
+        /** Leaves time for a second attempt before the lease ends; 430 daemons make 108 renewals per second. */
+        val RENEWAL = 4.seconds
+        val FIRST_BACKOFF = 500.milliseconds
+        val LAST_BACKOFF = 10.seconds
+        const val MAXIMUM_DOUBLINGS = 5
+    }
+}
