Add the peer link over TCP sockets

Frames carry CBOR after the handshake; a malformed or oversized frame closes only its link.

Echoes are sent when a link opens and while group summaries arrive on it, not on every link: with 430 daemons a daemon has several hundred links, and two echoes per second on each would exceed the budget of 16 KB/s.

--- /dev/null
+++ b/adapters/src/main/kotlin/boragering/adapters/PeerConnection.kt
@@ -0,0 +1,127 @@
+package boragering.adapters
+
+import arrow.core.getOrElse
+import boragering.core.DaemonId
+import boragering.core.EchoClock
+import boragering.core.HandshakeMessage
+import boragering.core.HandshakeStep
+import boragering.core.PeerEnvelope
+import boragering.core.PeerMessage
+import boragering.core.PeerProtocol
+import boragering.core.kind
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.io.IOException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** The link ends because the other side did not pass the handshake. */
+internal class HandshakeException(message: String) : IOException(message)
+
+/** Carries out the handshake on [frames] and returns the authenticated peer. */
+internal suspend fun PeerProtocol.authenticate(frames: PeerFrames): DaemonId {
+    suspend fun send(message: HandshakeMessage) =
+        frames.write(PeerCodec.encode(HandshakeMessage.serializer(), message))
+    send(hello)
+    var peer: DaemonId? = null
+    while (peer == null) {
+        val body = frames.read(PeerFrames.HANDSHAKE_LIMIT)
+        val step = receive(PeerCodec.decode(HandshakeMessage.serializer(), body))
+            .getOrElse { throw HandshakeException("handshake failed: $it") }
+        when (step) {
+            is HandshakeStep.Send -> send(step.proof)
+            is HandshakeStep.Wait -> Unit
+            is HandshakeStep.Established -> {
+                step.proof?.let { send(it) }
+                peer = step.peer
+            }
+        }
+    }
+    return peer
+}
+
+/** An established link to [peer]. */
+internal class PeerConnection(
+    private val peer: DaemonId,
+    private val frames: PeerFrames,
+    private val outbox: Outbox,
+    private val settings: PeerLinkSettings,
+    private val ports: PeerLinkPorts,
+    private val deliver: PeerDelivery,
+) {
+    @Volatile
+    private var lastReceived = ports.clock.monotonic()
+
+    @Volatile
+    private var lastSummaries: Duration? = null
+    private val echoes: EchoClock get() = ports.echoes
+
+    /** Sends and receives until the link fails, is silent for too long, or the caller is cancelled. */
+    suspend fun run(): Unit = coroutineScope {
+        launch { closing { write() } }
+        launch { closing { watch() } }
+        closing { read() }
+    }
+
+    /** Closes the socket when one of the activities ends, since the others may wait in calls of the socket. */
+    private suspend fun closing(activity: suspend () -> Unit) = frames.use { activity() }
+
+    private suspend fun read() {
+        while (true) {
+            val body = frames.read(PeerFrames.LIMIT)
+            val envelope = PeerCodec.decode(PeerEnvelope.serializer(), body)
+            lastReceived = ports.clock.monotonic()
+            ports.traffic.received(envelope.message.kind, body.size)
+            when (val message = envelope.message) {
+                is PeerMessage.Echo -> echoes.receive(peer, message)
+                is PeerMessage.GroupSummaries -> noteSummaries()
+                else -> Unit
+            }
+            if (envelope.message !is PeerMessage.Echo) deliver.receive(peer, envelope)
+        }
+    }
+
+    private suspend fun write() {
+        while (true) {
+            val frame = outbox.queue.take()
+            frames.write(frame.body)
+            ports.traffic.sent(frame.kind, frame.body.size)
+        }
+    }
+
+    /**
+     * Sends an echo first and then as long as summaries arrive. Echoes on all links would take most of the budget for
+     * control traffic: with 430 daemons, a daemon has several hundred links, most of them for rumours only.
+     */
+    private suspend fun watch() {
+        echo()
+        while (true) {
+            delay(settings.echoInterval)
+            val now = ports.clock.monotonic()
+            if (now - lastReceived > settings.silence) throw IOException("nothing received for ${settings.silence}")
+            if (lastSummaries?.let { now - it < ECHO_AFTER_SUMMARIES } == true) echo()
+        }
+    }
+
+    private fun noteSummaries() {
+        val first = lastSummaries == null
+        lastSummaries = ports.clock.monotonic()
+        if (first) echo()
+    }
+
+    private fun echo() = deliver.send(peer, echoes.next(peer))
+
+    private companion object {
+        val ECHO_AFTER_SUMMARIES = 10.seconds
+    }
+}
+
+/** Where a [PeerConnection] passes messages on. */
+internal interface PeerDelivery {
+    /** A message from the peer. */
+    fun receive(from: DaemonId, envelope: PeerEnvelope)
+
+    /** A message of the link itself to its peer. */
+    fun send(to: DaemonId, message: PeerMessage)
+}
--- /dev/null
+++ b/adapters/src/main/kotlin/boragering/adapters/PeerLinkSettings.kt
@@ -0,0 +1,62 @@
+package boragering.adapters
+
+import boragering.core.Clock
+import boragering.core.DaemonId
+import boragering.core.EchoClock
+import boragering.core.HybridTime
+import boragering.core.PeerEnvelope
+import boragering.core.PeerTraffic
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Where a [SocketPeerLink] listens and its limits; port 0 means any free port. */
+data class PeerLinkSettings(
+    val host: String,
+    val port: Int,
+    val handshakeTime: Duration = DEFAULT_HANDSHAKE_TIME,
+    val silence: Duration = DEFAULT_SILENCE,
+    val echoInterval: Duration = DEFAULT_ECHO_INTERVAL,
+    val handshakes: Int = DEFAULT_HANDSHAKES,
+    val links: Int = DEFAULT_LINKS,
+) {
+    /** Defaults of the limits. */
+    companion object {
+        /** Time for connecting and for the handshake. */
+        val DEFAULT_HANDSHAKE_TIME = 3.seconds
+
+        /** A link on which nothing was received for this time is closed, whether it is idle or dead. */
+        val DEFAULT_SILENCE = 30.seconds
+
+        /** Time between echoes. */
+        val DEFAULT_ECHO_INTERVAL = 500.milliseconds
+
+        /** Accepted connections whose handshake is in progress; more are closed at once. */
+        const val DEFAULT_HANDSHAKES = 64
+
+        /** Accepted connections; twice the links of a daemon that is connected to 430 others in both directions. */
+        const val DEFAULT_LINKS = 1_720
+    }
+}
+
+/** What a [SocketPeerLink] uses. */
+class PeerLinkPorts(val clock: Clock, val random: Random, val echoes: EchoClock, val traffic: PeerTraffic)
+
+/** What a [SocketPeerLink] asks and tells the daemon. Called by several threads; implementations return soon. */
+interface PeerLinkHandler {
+    /** The address (`host:port`) of [daemon], `null` when it is not known. */
+    fun address(daemon: DaemonId): String?
+
+    /** The stamp for a message that is sent now. */
+    fun stamp(): HybridTime
+
+    /** A message of the authenticated daemon [from]; echoes are handled by the link itself. */
+    fun receive(from: DaemonId, envelope: PeerEnvelope)
+
+    /** The first link to [peer] was established. */
+    fun opened(peer: DaemonId) = Unit
+
+    /** The last link to [peer] was closed. */
+    fun closed(peer: DaemonId) = Unit
+}
