Test the peer link over loopback and fix what the tests found

The test of simultaneous connects failed: HmacUtils holds a Mac and is not safe for use by several threads, so that concurrent handshakes computed wrong codes. Each handshake now has its own instance.

A failed connection attempt no longer drops the queue when the peer itself has connected meanwhile, a closed link wakes another link to the same peer, and close() frees the port, which it did not because the listening socket was closed after its selector.

--- a/adapters/src/main/kotlin/boragering/adapters/Outbox.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/Outbox.kt
@@ -30,15 +30,16 @@
     /** The attempt succeeded. */
     fun connected() = lock.withLock { connecting = false }
 
-    /** The attempt failed: the queue is dropped, and the next attempt waits. */
+    /** The attempt failed: unless the peer has connected, the queue is dropped, and the next attempt waits. */
     fun failed(now: Duration) {
-        lock.withLock {
+        val unreachable = lock.withLock {
             connecting = false
             failures += 1
             val doubled = FIRST_BACKOFF * (1 shl minOf(failures - 1, MAXIMUM_DOUBLINGS))
             retryAt = now + minOf(doubled, LAST_BACKOFF) * (1 - random.nextDouble() / 2)
+            links == 0
         }
-        queue.clear()
+        if (unreachable) queue.clear()
     }
 
     /** A link was established; returns whether it is the first. */
@@ -49,7 +50,11 @@
     }
 
     /** A link was closed; returns whether it was the last. */
-    fun closed(): Boolean = lock.withLock { --links == 0 }
+    fun closed(): Boolean {
+        val last = lock.withLock { --links == 0 }
+        queue.wake()
+        return last
+    }
 
     /** Moves the waiting messages to [other]. */
     fun moveTo(other: Outbox) {
--- a/adapters/src/main/kotlin/boragering/adapters/SendQueue.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/SendQueue.kt
@@ -28,7 +28,7 @@
             generateSequence { if (isOverfull()) removeOldest() else null }.toList()
         }
         dropped.forEach { traffic.dropped(it.kind) }
-        signal.trySend(Unit)
+        wake()
     }
 
     /** Waits for the next frame and removes it. */
@@ -41,6 +41,11 @@
         return next
     }
 
+    /** Makes another link to the peer continue when the one that was to take the next frame was closed. */
+    fun wake() {
+        signal.trySend(Unit)
+    }
+
     /** Drops all frames, for example when the peer cannot be reached. */
     fun clear() = drain().forEach { traffic.dropped(it.kind) }
 
@@ -60,7 +65,7 @@
             next to (urgent.isNotEmpty() || bulk.isNotEmpty())
         }
         // Two links to the same peer can take from one queue; the other one may be waiting.
-        if (more) signal.trySend(Unit)
+        if (more) wake()
         return next
     }
 
--- a/adapters/src/main/kotlin/boragering/adapters/SocketPeerLink.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/SocketPeerLink.kt
@@ -52,9 +52,16 @@
     private val links = Semaphore(settings.links)
     private val delivery = Delivery()
 
+    @Volatile
+    private var listening: ServerSocket? = null
+
     /** Starts to listen and returns the port. */
     suspend fun start(): Int {
-        val server = aSocket(selector).tcp().bind(settings.host, settings.port)
+        val server = aSocket(selector).tcp().bind(settings.host, settings.port) {
+            // A restarted daemon can listen again while links of its predecessor are still in TIME_WAIT.
+            reuseAddress = true
+        }
+        listening = server
         scope.launch { accept(server) }
         return (server.localAddress as InetSocketAddress).port
     }
@@ -79,6 +86,7 @@
     }
 
     override fun close() {
+        listening?.close()
         scope.cancel()
         selector.close()
     }
--- /dev/null
+++ b/adapters/src/test/kotlin/boragering/adapters/LinkFixture.kt
@@ -0,0 +1,92 @@
+package boragering.adapters
+
+import boragering.core.Clock
+import boragering.core.DaemonId
+import boragering.core.EchoClock
+import boragering.core.HandshakeIdentity
+import boragering.core.HybridTime
+import boragering.core.LinkRole
+import boragering.core.PeerEnvelope
+import boragering.core.PeerMessage
+import boragering.core.PeerProtocol
+import boragering.core.PeerTraffic
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.Dispatchers
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.nanoseconds
+
+internal val SECRET = "a shared secret".toByteArray()
+private const val NONCE = "0123456789abcdef0123456789abcdef"
+
+private object TestClock : Clock {
+    override fun wallMilliseconds() = 0L
+
+    override fun monotonic(): Duration = System.nanoTime().nanoseconds
+}
+
+/** A link of one daemon with the messages that it received. */
+internal class LinkFixture(
+    name: String,
+    secret: ByteArray = SECRET,
+    settings: PeerLinkSettings = PeerLinkSettings("127.0.0.1", 0),
+) : AutoCloseable {
+    val id = DaemonId(name)
+    val received = CopyOnWriteArrayList<Pair<DaemonId, PeerMessage>>()
+    val closed = CopyOnWriteArrayList<DaemonId>()
+    val addresses = HashMap<DaemonId, String>()
+    val echoes = EchoClock(TestClock)
+    var address = ""
+    private val handler = object : PeerLinkHandler {
+        override fun address(daemon: DaemonId) = addresses[daemon]
+
+        override fun stamp() = HybridTime(0, 0, id)
+
+        override fun receive(from: DaemonId, envelope: PeerEnvelope) {
+            received += from to envelope.message
+        }
+
+        override fun closed(peer: DaemonId) {
+            closed += peer
+        }
+    }
+    val link = SocketPeerLink(
+        settings,
+        HandshakeIdentity(id, secret),
+        PeerLinkPorts(TestClock, Random(1), echoes, PeerTraffic.None),
+        handler,
+    )
+
+    suspend fun start() = apply { address = "127.0.0.1:${link.start()}" }
+
+    override fun close() = link.close()
+}
+
+/** A connection to [address] on which a test sends what it likes. */
+internal class RawConnection(private val selector: SelectorManager, val frames: PeerFrames) : AutoCloseable {
+    /** Passes the handshake as the daemon [name]. */
+    suspend fun authenticate(name: String) {
+        val identity = HandshakeIdentity(DaemonId(name), SECRET)
+        PeerProtocol(identity, LinkRole.CONNECTOR, NONCE).authenticate(frames)
+    }
+
+    /** Reads until the other side closes. */
+    suspend fun awaitClosed() {
+        runCatching { while (true) frames.read(PeerFrames.LIMIT) }
+    }
+
+    override fun close() {
+        frames.close()
+        selector.close()
+    }
+
+    companion object {
+        suspend fun open(address: String): RawConnection {
+            val selector = SelectorManager(Dispatchers.IO)
+            val port = address.substringAfterLast(':').toInt()
+            return RawConnection(selector, PeerFrames(aSocket(selector).tcp().connect("127.0.0.1", port)))
+        }
+    }
+}
--- /dev/null
+++ b/adapters/src/test/kotlin/boragering/adapters/SendQueueTest.kt
@@ -0,0 +1,51 @@
+package boragering.adapters
+
+import boragering.core.PeerMessageKind
+import boragering.core.PeerTraffic
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+
+private class DropCount : PeerTraffic by PeerTraffic.None {
+    val kinds = mutableListOf<PeerMessageKind>()
+
+    override fun dropped(kind: PeerMessageKind) {
+        kinds += kind
+    }
+}
+
+class SendQueueTest : DescribeSpec({
+    describe("a full send queue") {
+        it("drops the oldest items and keeps pings, so that a slow link does not make its peer suspected") {
+            val drops = DropCount()
+            val queue = SendQueue(drops)
+            queue.offer(OutgoingFrame(PeerMessageKind.PING, ByteArray(10)))
+            val items = List(9) { OutgoingFrame(PeerMessageKind.ITEMS, ByteArray(1024 * 1024)) }
+            items.forEach(queue::offer)
+
+            drops.kinds shouldContainExactly List(2) { PeerMessageKind.ITEMS }
+            queue.take().kind shouldBe PeerMessageKind.PING
+            queue.take() shouldBe items[2]
+        }
+
+        it("bounds the number of small frames") {
+            val drops = DropCount()
+            val queue = SendQueue(drops)
+            repeat(5000) { queue.offer(OutgoingFrame(PeerMessageKind.ECHO, ByteArray(1))) }
+
+            queue.drain().size shouldBe 4096
+            drops.kinds.size shouldBe 904
+        }
+    }
+
+    describe("a send queue") {
+        it("sends a ping before items that were queued earlier") {
+            val queue = SendQueue(PeerTraffic.None)
+            queue.offer(OutgoingFrame(PeerMessageKind.ITEMS, ByteArray(1)))
+            queue.offer(OutgoingFrame(PeerMessageKind.PING, ByteArray(1)))
+
+            listOf(queue.take().kind, queue.take().kind) shouldContainExactly
+                listOf(PeerMessageKind.PING, PeerMessageKind.ITEMS)
+        }
+    }
+})
--- /dev/null
+++ b/adapters/src/test/kotlin/boragering/adapters/SocketPeerLinkTest.kt
@@ -0,0 +1,187 @@
+package boragering.adapters
+
+import boragering.core.DaemonId
+import boragering.core.HybridTime
+import boragering.core.Item
+import boragering.core.PeerEnvelope
+import boragering.core.PeerMessage
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.withTimeout
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private suspend fun until(condition: suspend () -> Unit) = eventually(10.seconds, condition)
+
+private suspend fun pair(action: suspend (LinkFixture, LinkFixture) -> Unit) =
+    LinkFixture("a").start().use { a ->
+        LinkFixture("b").start().use { b ->
+            a.addresses[b.id] = b.address
+            action(a, b)
+        }
+    }
+
+class SocketPeerLinkTest : DescribeSpec({
+    val ping = PeerMessage.Ping(7)
+    val content = "x".repeat(1_000_000)
+
+    describe("a link between two daemons") {
+        it("delivers messages of up to a store value's size with the sender's id, and answers on the same link") {
+            pair { a, b ->
+                val items = PeerMessage.Items(listOf(Item("key", 1, content)))
+                a.link.send(b.id, items)
+                until { b.received shouldContainExactly listOf(a.id to items) }
+                b.link.send(a.id, ping)
+                until { a.received shouldContainExactly listOf(b.id to ping) }
+            }
+        }
+
+        it("can be opened to a seed address whose daemon is not known") {
+            pair { a, b ->
+                a.link.sendToAddress(b.address, ping)
+                until { b.received shouldContain (a.id to ping) }
+                b.link.send(a.id, ping)
+                until { a.received shouldContain (b.id to ping) }
+            }
+        }
+
+        it("delivers when both daemons connect at the same time") {
+            pair { a, b ->
+                b.addresses[a.id] = a.address
+                a.link.send(b.id, ping)
+                b.link.send(a.id, ping)
+                until { b.received shouldContain (a.id to ping) }
+                until { a.received shouldContain (b.id to ping) }
+            }
+        }
+
+        it("carries an echo in both directions when it opens, so that the first summaries have an age") {
+            pair { a, b ->
+                a.link.send(b.id, ping)
+                until { b.echoes.highestReceived(a.id).shouldNotBeNull() }
+                until { a.echoes.highestReceived(b.id).shouldNotBeNull() }
+                a.echoes.sentAt(b.id, b.echoes.highestReceived(a.id)!!).shouldNotBeNull()
+            }
+        }
+
+        it("carries further echoes while summaries arrive") {
+            pair { a, b ->
+                a.link.send(b.id, PeerMessage.GroupSummaries(null, emptyList()))
+                until { (a.echoes.highestReceived(b.id) ?: 0) shouldBe 4 }
+            }
+        }
+
+        it("is closed after silence and opened again for the next message") {
+            val settings = PeerLinkSettings("127.0.0.1", 0, silence = 200.milliseconds, echoInterval = 50.milliseconds)
+            LinkFixture("a", settings = settings).start().use { a ->
+                LinkFixture("b").start().use { b ->
+                    a.addresses[b.id] = b.address
+                    a.link.send(b.id, ping)
+                    until { a.closed shouldContain b.id }
+                    until {
+                        a.link.send(b.id, ping)
+                        b.received.size shouldBeGreaterThan 1
+                    }
+                }
+            }
+        }
+
+        it("is opened again after the other daemon could not be reached") {
+            LinkFixture("a").start().use { a ->
+                val address = LinkFixture("b").start().use { it.address }
+                a.addresses[DaemonId("b")] = address
+                a.link.send(DaemonId("b"), ping)
+                val settings = PeerLinkSettings("127.0.0.1", address.substringAfter(':').toInt())
+                val restarted = LinkFixture("b", settings = settings)
+                until { restarted.start() }
+                restarted.use { b ->
+                    until {
+                        a.link.send(b.id, ping)
+                        b.received shouldContain (a.id to ping)
+                    }
+                }
+            }
+        }
+    }
+
+    describe("a daemon with another secret") {
+        it("delivers nothing and receives nothing") {
+            LinkFixture("a", "another secret".toByteArray()).start().use { a ->
+                LinkFixture("b").start().use { b ->
+                    a.addresses[b.id] = b.address
+                    RawConnection.open(a.address).use { raw ->
+                        runCatching { raw.authenticate("c") }.isFailure shouldBe true
+                    }
+                    a.link.send(b.id, ping)
+                    RawConnection.open(b.address).use { it.authenticate("c") }
+                    until { b.closed shouldContain DaemonId("c") }
+                    b.received.shouldBeEmpty()
+                }
+            }
+        }
+    }
+
+    describe("a frame that does not follow the protocol") {
+        suspend fun closesOnlyItsLink(attack: suspend (RawConnection) -> Unit) = pair { a, b ->
+            a.link.send(b.id, ping)
+            until { b.received.size shouldBe 1 }
+            RawConnection.open(b.address).use { raw ->
+                attack(raw)
+                withTimeout(10.seconds) { raw.awaitClosed() }
+            }
+            a.link.send(b.id, ping)
+            until { b.received shouldContainExactly listOf(a.id to ping, a.id to ping) }
+            a.closed.shouldBeEmpty()
+        }
+
+        it("closes its link when it comes before the proof") {
+            closesOnlyItsLink { raw ->
+                val envelope = PeerEnvelope(HybridTime(0, 0, DaemonId("c")), ping)
+                raw.frames.write(PeerCodec.encode(PeerEnvelope.serializer(), envelope))
+            }
+        }
+
+        it("closes its link when it is longer than allowed before the proof") {
+            closesOnlyItsLink { it.frames.write(ByteArray(PeerFrames.HANDSHAKE_LIMIT + 1)) }
+        }
+
+        it("closes its link when it is no CBOR") {
+            closesOnlyItsLink { raw ->
+                raw.authenticate("c")
+                raw.frames.write(ByteArray(100) { -1 })
+            }
+        }
+
+        it("closes its link when it is longer than 2 MiB") {
+            closesOnlyItsLink { raw ->
+                raw.authenticate("c")
+                runCatching { raw.frames.write(ByteArray(PeerFrames.LIMIT + 1)) }
+            }
+        }
+    }
+
+    describe("a connection without a handshake") {
+        it("is closed when the time for the handshake has passed") {
+            val settings = PeerLinkSettings("127.0.0.1", 0, handshakeTime = 100.milliseconds)
+            LinkFixture("a", settings = settings).start().use { a ->
+                RawConnection.open(a.address).use { raw -> withTimeout(10.seconds) { raw.awaitClosed() } }
+            }
+        }
+
+        it("does not take more than the permitted number of handshakes") {
+            val settings = PeerLinkSettings("127.0.0.1", 0, handshakeTime = 60.seconds, handshakes = 1)
+            LinkFixture("a", settings = settings).start().use { a ->
+                RawConnection.open(a.address).use { first ->
+                    first.frames.read(PeerFrames.LIMIT)
+                    RawConnection.open(a.address).use { withTimeout(10.seconds) { it.awaitClosed() } }
+                }
+            }
+        }
+    }
+})
--- a/core/src/main/kotlin/boragering/core/PeerProtocol.kt
+++ b/core/src/main/kotlin/boragering/core/PeerProtocol.kt
@@ -66,9 +66,7 @@
 }
 
 /** Settings of one side's handshakes. */
-class HandshakeIdentity(val daemon: DaemonId, secret: ByteArray) {
-    internal val codes = HmacUtils(HmacAlgorithms.HMAC_SHA_256, secret)
-}
+class HandshakeIdentity(val daemon: DaemonId, internal val secret: ByteArray)
 
 /**
  * One side of the handshake of one link. The connector proves the secret first; the acceptor answers with its own proof
@@ -87,6 +85,8 @@
     /** The message to send first. */
     val hello = HandshakeMessage.Hello(VERSION, identity.daemon, nonce)
 
+    // Each handshake has its own instance, since it holds state while it computes a code.
+    private val codes = HmacUtils(HmacAlgorithms.HMAC_SHA_256, identity.secret)
     private var remote: HandshakeMessage.Hello? = null
     private var finished = false
 
@@ -139,7 +139,7 @@
         val fields = listOf(by.name) + sides.flatMap { listOf(it.daemon.value, it.nonce) }
         // The lengths keep two different lists of fields from being the same text.
         val text = fields.joinToString("") { "${it.length}:$it" }
-        return HandshakeMessage.Proof(identity.codes.hmacHex(text))
+        return HandshakeMessage.Proof(codes.hmacHex(text))
     }
 
     /** Constants of the handshake. */
