Link daemons, and give echoes one owner

Cause: two parts kept echoes: the peer link sent them on each link with summaries, and the controller of domains sends them to the planners of the groups that the daemon holds. The link kept those of the controller to itself, so that no summary would have had an age.

Ruled out: echoes in the link; it knows links, not which daemon plans a group that is held, and it would send echoes on links that carry no summaries.

--- a/adapters/src/main/kotlin/boragering/adapters/PeerConnection.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/PeerConnection.kt
@@ -2,19 +2,16 @@
 
 import arrow.core.getOrElse
 import boragering.core.DaemonId
-import boragering.core.EchoClock
 import boragering.core.HandshakeMessage
 import boragering.core.HandshakeStep
 import boragering.core.PeerEnvelope
-import boragering.core.PeerMessage
 import boragering.core.PeerProtocol
 import boragering.core.kind
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.io.IOException
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Duration.Companion.milliseconds
 
 /** The link ends because the other side did not pass the handshake. */
 internal class HandshakeException(message: String) : IOException(message)
@@ -48,14 +45,11 @@
     private val outbox: Outbox,
     private val settings: PeerLinkSettings,
     private val ports: PeerLinkPorts,
-    private val deliver: PeerDelivery,
+    private val deliver: (DaemonId, PeerEnvelope) -> Unit,
 ) {
     @Volatile
     private var lastReceived = ports.clock.monotonic()
 
-    @Volatile
-    private var lastSummaries: Duration? = null
-    private val echoes: EchoClock get() = ports.echoes
 
     /** Sends and receives until the link fails, is silent for too long, or the caller is cancelled. */
     suspend fun run(): Unit = coroutineScope {
@@ -73,12 +67,7 @@
             val envelope = PeerCodec.decode(PeerEnvelope.serializer(), body)
             lastReceived = ports.clock.monotonic()
             ports.traffic.received(envelope.message.kind, body.size)
-            when (val message = envelope.message) {
-                is PeerMessage.Echo -> echoes.receive(peer, message)
-                is PeerMessage.GroupSummaries -> noteSummaries()
-                else -> Unit
-            }
-            if (envelope.message !is PeerMessage.Echo) deliver.receive(peer, envelope)
+            deliver(peer, envelope)
         }
     }
 
@@ -90,38 +79,15 @@
         }
     }
 
-    /**
-     * Sends an echo first and then as long as summaries arrive. Echoes on all links would take most of the budget for
-     * control traffic: with 430 daemons, a daemon has several hundred links, most of them for rumours only.
-     */
     private suspend fun watch() {
-        echo()
         while (true) {
-            delay(settings.echoInterval)
-            val now = ports.clock.monotonic()
-            if (now - lastReceived > settings.silence) throw IOException("nothing received for ${settings.silence}")
-            if (lastSummaries?.let { now - it < ECHO_AFTER_SUMMARIES } == true) echo()
+            delay(CHECK_INTERVAL)
+            val silent = ports.clock.monotonic() - lastReceived
+            if (silent > settings.silence) throw IOException("nothing received for ${settings.silence}")
         }
     }
 
-    private fun noteSummaries() {
-        val first = lastSummaries == null
-        lastSummaries = ports.clock.monotonic()
-        if (first) echo()
-    }
-
-    private fun echo() = deliver.send(peer, echoes.next(peer))
-
     private companion object {
-        val ECHO_AFTER_SUMMARIES = 10.seconds
+        val CHECK_INTERVAL = 100.milliseconds
     }
 }
-
-/** Where a [PeerConnection] passes messages on. */
-internal interface PeerDelivery {
-    /** A message from the peer. */
-    fun receive(from: DaemonId, envelope: PeerEnvelope)
-
-    /** A message of the link itself to its peer. */
-    fun send(to: DaemonId, message: PeerMessage)
-}
--- a/adapters/src/main/kotlin/boragering/adapters/PeerLinkSettings.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/PeerLinkSettings.kt
@@ -2,13 +2,11 @@
 
 import boragering.core.Clock
 import boragering.core.DaemonId
-import boragering.core.EchoClock
 import boragering.core.HybridTime
 import boragering.core.PeerEnvelope
 import boragering.core.PeerTraffic
 import kotlin.random.Random
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Where a [SocketPeerLink] listens and its limits; port 0 means any free port. */
@@ -17,7 +15,6 @@
     val port: Int,
     val handshakeTime: Duration = DEFAULT_HANDSHAKE_TIME,
     val silence: Duration = DEFAULT_SILENCE,
-    val echoInterval: Duration = DEFAULT_ECHO_INTERVAL,
     val handshakes: Int = DEFAULT_HANDSHAKES,
     val links: Int = DEFAULT_LINKS,
 ) {
@@ -29,9 +26,6 @@
         /** A link on which nothing was received for this time is closed, whether it is idle or dead. */
         val DEFAULT_SILENCE = 30.seconds
 
-        /** Time between echoes. */
-        val DEFAULT_ECHO_INTERVAL = 500.milliseconds
-
         /** Accepted connections whose handshake is in progress; more are closed at once. */
         const val DEFAULT_HANDSHAKES = 64
 
@@ -41,7 +35,7 @@
 }
 
 /** What a [SocketPeerLink] uses. */
-class PeerLinkPorts(val clock: Clock, val random: Random, val echoes: EchoClock, val traffic: PeerTraffic)
+class PeerLinkPorts(val clock: Clock, val random: Random, val traffic: PeerTraffic)
 
 /** What a [SocketPeerLink] asks and tells the daemon. Called by several threads; implementations return soon. */
 interface PeerLinkHandler {
@@ -51,7 +45,7 @@
     /** The stamp for a message that is sent now. */
     fun stamp(): HybridTime
 
-    /** A message of the authenticated daemon [from]; echoes are handled by the link itself. */
+    /** A message of the authenticated daemon [from]. */
     fun receive(from: DaemonId, envelope: PeerEnvelope)
 
     /** The first link to [peer] was established. */
--- a/adapters/src/main/kotlin/boragering/adapters/SocketPeerLink.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/SocketPeerLink.kt
@@ -50,7 +50,6 @@
     private val daemons = ConcurrentHashMap<String, DaemonId>()
     private val handshakes = Semaphore(settings.handshakes)
     private val links = Semaphore(settings.links)
-    private val delivery = Delivery()
 
     @Volatile
     private var listening: ServerSocket? = null
@@ -157,23 +156,16 @@
             if (outbox.opened()) handler.opened(peer)
             try {
                 established(peer, outbox)
-                PeerConnection(peer, frames, outbox, settings, ports, delivery).run()
+                PeerConnection(peer, frames, outbox, settings, ports, handler::receive).run()
             } finally {
                 if (outbox.closed()) {
                     peers.remove(peer, outbox)
                     outbox.queue.clear()
-                    ports.echoes.forget(peer)
                     handler.closed(peer)
                 }
             }
         }
     }
-
-    private inner class Delivery : PeerDelivery {
-        override fun receive(from: DaemonId, envelope: PeerEnvelope) = handler.receive(from, envelope)
-
-        override fun send(to: DaemonId, message: PeerMessage) = this@SocketPeerLink.send(to, message)
-    }
 }
 
 private val log = LogManager.getLogger(SocketPeerLink::class.java)
--- a/core/src/main/kotlin/boragering/core/MemberRecord.kt
+++ b/core/src/main/kotlin/boragering/core/DaemonRecord.kt
@@ -5,9 +5,9 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
-/** What a [MemberRecord] states about a daemon. */
+/** What a [DaemonRecord] states about a daemon. */
 @Serializable
-enum class MemberState {
+enum class DaemonState {
     /** The daemon itself stated this heartbeat. */
     @SerialName("alive")
     ALIVE,
@@ -27,7 +27,7 @@
  * the same heartbeat, a higher heartbeat replaces the suspicion, and nothing replaces the announcement of the end.
  */
 @Serializable
-data class MemberRecord(val registration: Registration, val heartbeat: Long, val state: MemberState) {
+data class DaemonRecord(val registration: Registration, val heartbeat: Long, val state: DaemonState) {
     /** The daemon that the record is about. */
     val daemon: DaemonId get() = registration.daemon
 
@@ -36,17 +36,17 @@
 
     private val version: Long
         get() = when (state) {
-            MemberState.ALIVE -> heartbeat * STATES
-            MemberState.SUSPECTED -> heartbeat * STATES + 1
-            MemberState.LEFT -> Long.MAX_VALUE
+            DaemonState.ALIVE -> heartbeat * STATES
+            DaemonState.SUSPECTED -> heartbeat * STATES + 1
+            DaemonState.LEFT -> Long.MAX_VALUE
         }
 
     companion object {
         private const val STATES = 2
 
         /** The record in [item]; `null` when the item does not carry a valid one. */
-        fun of(item: Item): MemberRecord? = try {
-            Json.decodeFromString<MemberRecord>(item.content)
+        fun of(item: Item): DaemonRecord? = try {
+            Json.decodeFromString<DaemonRecord>(item.content)
                 .takeIf { Registration.key(it.daemon) == item.key && it.version == item.version }
         } catch (_: SerializationException) {
             null
--- a/core/src/main/kotlin/boragering/core/MemberTable.kt
+++ b/core/src/main/kotlin/boragering/core/DaemonTable.kt
@@ -10,20 +10,20 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** A daemon as this daemon knows it. [since] is when the suspicion or the end was learned of. */
-internal data class KnownDaemon(val record: MemberRecord, val live: Boolean, val since: Duration) {
+internal data class KnownDaemon(val record: DaemonRecord, val live: Boolean, val since: Duration) {
     /** Whether the daemon is live but will not be without a refutation. */
-    val suspected: Boolean get() = live && record.state == MemberState.SUSPECTED
+    val suspected: Boolean get() = live && record.state == DaemonState.SUSPECTED
 
     /** Since when the heartbeat of [next] has been suspected; a second report does not prolong a suspicion. */
-    fun suspectedSince(next: MemberRecord): Duration? =
-        since.takeIf { record.state == MemberState.SUSPECTED && record.heartbeat == next.heartbeat }
+    fun suspectedSince(next: DaemonRecord): Duration? =
+        since.takeIf { record.state == DaemonState.SUSPECTED && record.heartbeat == next.heartbeat }
 }
 
 /**
  * The daemons other than this one. A daemon becomes live only by a record that it stated itself or by its registration,
  * and ends to be live [SUSPICION] after the suspicion was learned of, or at once when it announced its end.
  */
-internal class MemberTable(
+internal class DaemonTable(
     private val self: Registration,
     private val items: ItemReplica,
     private val clock: Clock,
@@ -43,16 +43,16 @@
 
     /** Daemons that are not live but did not announce their end; they may be behind a partition. */
     fun lost(): List<KnownDaemon> =
-        lock.withLock { members.values.filter { !it.live && it.record.state != MemberState.LEFT } }
+        lock.withLock { members.values.filter { !it.live && it.record.state != DaemonState.LEFT } }
 
     /** Takes the newest record about another daemon. */
-    fun update(record: MemberRecord) = change {
+    fun update(record: DaemonRecord) = change {
         val known = members[record.daemon]
         val now = clock.monotonic()
         members[record.daemon] = when (record.state) {
-            MemberState.ALIVE -> KnownDaemon(record, live = true, since = now)
-            MemberState.LEFT -> KnownDaemon(record, live = false, since = now)
-            MemberState.SUSPECTED -> KnownDaemon(record, known?.live == true, known?.suspectedSince(record) ?: now)
+            DaemonState.ALIVE -> KnownDaemon(record, live = true, since = now)
+            DaemonState.LEFT -> KnownDaemon(record, live = false, since = now)
+            DaemonState.SUSPECTED -> KnownDaemon(record, known?.live == true, known?.suspectedSince(record) ?: now)
         }
     }
 
--- a/core/src/main/kotlin/boragering/core/Membership.kt
+++ b/core/src/main/kotlin/boragering/core/Membership.kt
@@ -33,7 +33,7 @@
     private val random = LockedRandom(random)
     private val isolation = Isolation(ports.clock)
     private val own = OwnRecord(self, items)
-    private val table = MemberTable(self, items, ports.clock, isolation, ports.timeline)
+    private val table = DaemonTable(self, items, ports.clock, isolation, ports.timeline)
     private val detector =
         FailureDetector(self.daemon, Findings(), ports.link, ports.pauses, ports.clock, this.random)
     private val leaseWake = Wake()
@@ -45,7 +45,7 @@
     override val live: PersistentList<Registration> get() = table.live
 
     init {
-        items.listen(Registration.KEY_PREFIX) { item -> MemberRecord.of(item)?.let(::learn) }
+        items.listen(Registration.KEY_PREFIX) { item -> DaemonRecord.of(item)?.let(::learn) }
         ports.pauses.listen(::resume)
         own.publish()
     }
@@ -81,13 +81,13 @@
         lease.end()
     }
 
-    private fun learn(record: MemberRecord) =
+    private fun learn(record: DaemonRecord) =
         if (record.daemon == self.daemon) own.refute(record) else table.update(record)
 
     /** After a pause, others may have ended what this daemon knows as live, and it may itself count as lost. */
     private fun resume(gap: Duration) {
         ports.timeline.record(TimelineEntry("daemon-paused", "daemon ${self.daemon} did not run for $gap"))
-        if (gap >= MemberTable.RETENTION / 2) {
+        if (gap >= DaemonTable.RETENTION / 2) {
             items.clear(Registration.KEY_PREFIX)
             table.clear()
         }
@@ -99,7 +99,7 @@
 
     private suspend fun take(registrations: List<Registration>) {
         registrations.filter { it.daemon != self.daemon }
-            .forEach { items.accept(MemberRecord(it, 0, MemberState.ALIVE).toItem()) }
+            .forEach { items.accept(DaemonRecord(it, 0, DaemonState.ALIVE).toItem()) }
         if (self !in registrations) lease.lost()
     }
 
@@ -111,13 +111,13 @@
         override fun answered(daemon: DaemonId, heartbeat: Long) {
             val known = table.get(daemon)?.record ?: return
             if (heartbeat > known.heartbeat) {
-                items.accept(known.copy(heartbeat = heartbeat, state = MemberState.ALIVE).toItem())
+                items.accept(known.copy(heartbeat = heartbeat, state = DaemonState.ALIVE).toItem())
             }
         }
 
         override fun suspect(daemon: DaemonId) {
             val known = table.get(daemon)?.record ?: return
-            val suspicion = known.copy(state = MemberState.SUSPECTED)
+            val suspicion = known.copy(state = DaemonState.SUSPECTED)
             if (items.accept(suspicion.toItem())) contacts.tell(suspicion)
         }
     }
--- a/core/src/main/kotlin/boragering/core/OwnRecord.kt
+++ b/core/src/main/kotlin/boragering/core/OwnRecord.kt
@@ -6,7 +6,7 @@
 /** What this daemon states about itself. */
 internal class OwnRecord(private val self: Registration, private val items: ItemReplica) {
     private val lock = ReentrantLock()
-    private var record = MemberRecord(self, 1, MemberState.ALIVE)
+    private var record = DaemonRecord(self, 1, DaemonState.ALIVE)
 
     /** The heartbeat last stated. */
     val heartbeat: Long get() = lock.withLock { record.heartbeat }
@@ -21,18 +21,18 @@
 
     /** Announces the end; the record cannot change afterwards. */
     fun leave() {
-        lock.withLock { record = record.copy(state = MemberState.LEFT) }
+        lock.withLock { record = record.copy(state = DaemonState.LEFT) }
         publish()
     }
 
     /** Refutes what another daemon states about this one, if it is a suspicion. */
-    fun refute(stated: MemberRecord) {
-        if (stated.state == MemberState.SUSPECTED && stated.heartbeat >= heartbeat) raise(stated.heartbeat)
+    fun refute(stated: DaemonRecord) {
+        if (stated.state == DaemonState.SUSPECTED && stated.heartbeat >= heartbeat) raise(stated.heartbeat)
     }
 
     private fun raise(above: Long) {
         lock.withLock {
-            if (record.state == MemberState.ALIVE) {
+            if (record.state == DaemonState.ALIVE) {
                 record = record.copy(heartbeat = maxOf(record.heartbeat, above) + 1)
             }
         }
--- a/core/src/main/kotlin/boragering/core/PeerContacts.kt
+++ b/core/src/main/kotlin/boragering/core/PeerContacts.kt
@@ -7,7 +7,7 @@
 /** Messages to daemons that are not live for this one: those behind seed addresses, and those that count as lost. */
 internal class PeerContacts(
     private val items: ItemReplica,
-    private val table: MemberTable,
+    private val table: DaemonTable,
     private val ports: MembershipPorts,
     private val seeds: List<String>,
     private val random: Random,
@@ -30,7 +30,7 @@
     }
 
     /** Tells the daemon that [record] is about, so that it refutes a suspicion. */
-    fun tell(record: MemberRecord) = ports.link.send(record.daemon, PeerMessage.Items(listOf(record.toItem())))
+    fun tell(record: DaemonRecord) = ports.link.send(record.daemon, PeerMessage.Items(listOf(record.toItem())))
 
     /** Starts a comparison of items, which also makes this daemon known. */
     private fun greet(address: String) =
--- a/daemon/src/main/kotlin/boragering/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/Daemon.kt
@@ -5,6 +5,8 @@
 import boragering.adapters.HttpStore
 import boragering.adapters.HttpTargetCalls
 import boragering.adapters.HttpTargets
+import boragering.adapters.PeerLinkHandler
+import boragering.adapters.PeerLinkPorts
 import boragering.adapters.PeerLinkSettings
 import boragering.adapters.SocketPeerLink
 import boragering.adapters.SystemClock
@@ -22,7 +24,9 @@
 import boragering.core.EchoBook
 import boragering.core.GroupHealth
 import boragering.core.HealthSettings
+import boragering.core.HandshakeIdentity
 import boragering.core.HybridClock
+import boragering.core.HybridTime
 import boragering.core.ItemReplica
 import boragering.core.Membership
 import boragering.core.MembershipPorts
@@ -66,7 +70,13 @@
     private val store =
         ObservedStore(HttpStore(client, settings.platform.store, settings.platform.timeout), registry)
     private val items = ItemReplica(clock)
-    private val link = SocketPeerLink(linkSettings(secrets), ::receive)
+    private val link =
+        SocketPeerLink(
+            PeerLinkSettings(settings.listen.peers.host, settings.listen.peers.port),
+            HandshakeIdentity(self.daemon, secrets.peers.toByteArray()),
+            PeerLinkPorts(clock, random, PeerCounters(registry)),
+            Inbox(),
+        )
     private val membership =
         Membership(
             self,
@@ -140,16 +150,16 @@
     val ready: Boolean get() = catalogue.current() != null && divisionLoader.loaded
 
     /** Starts the loops and the servers. */
-    fun start() {
+    suspend fun start() {
+        link.start()
         addGauges()
         listOf<suspend () -> Unit>(
-            link::run,
-            membership::run,
-            dissemination::run,
-            catalogue::run,
-            divisionLoader::run,
-            controller::run,
-            admission::run,
+            { membership.run() },
+            { dissemination.run() },
+            { catalogue.run() },
+            { divisionLoader.run() },
+            { controller.run() },
+            { admission.run() },
         ).forEach { loop -> scope.launch { loop() } }
         servers.start()
         timeline.record(TimelineEntry("daemon-started", "daemon ${self.daemon} listens at ${settings.listen.callers}"))
@@ -171,6 +181,7 @@
         timeline.record(TimelineEntry("daemon-stopped", if (finished) "all requests ended" else "drain time is over"))
         withTimeoutOrNull(LEAVE_TIME) { membership.leave() }
         servers.stop()
+        link.close()
     }
 
     private fun operator(): DaemonOperator =
@@ -190,16 +201,20 @@
             ),
         )
 
-    private fun linkSettings(secrets: Secrets): PeerLinkSettings = TODO("$secrets")
+    private inner class Inbox : PeerLinkHandler {
+        override fun address(daemon: DaemonId): String? = membership.address(daemon)
+
+        override fun stamp(): HybridTime = hybridClock.issue()
 
-    private fun receive(from: DaemonId, envelope: PeerEnvelope) {
-        hybridClock.merge(envelope.stamp)
-        val message = envelope.message
-        membership.handle(from, message)
-        when (message) {
-            is PeerMessage.Echo -> echoes.received(from, message)
-            is PeerMessage.GroupSummaries -> health.accept(from, message)
-            else -> dissemination.handle(from, message)
+        override fun receive(from: DaemonId, envelope: PeerEnvelope) {
+            hybridClock.merge(envelope.stamp)
+            val message = envelope.message
+            membership.handle(from, message)
+            when (message) {
+                is PeerMessage.Echo -> echoes.received(from, message)
+                is PeerMessage.GroupSummaries -> health.accept(from, message)
+                else -> dissemination.handle(from, message)
+            }
         }
     }
 
--- a/daemon/src/main/kotlin/boragering/daemon/DaemonProcess.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/DaemonProcess.kt
@@ -26,7 +26,7 @@
             Runtime.getRuntime().halt(EXIT_FAILURE)
         }
     val daemon = Daemon(settings, secrets, CoroutineScope(SupervisorJob() + Dispatchers.Default + failures))
-    daemon.start()
+    runBlocking { daemon.start() }
     stopRequested.await()
     runBlocking { daemon.stop() }
     LogManager.shutdown()
