Prove that only two daemons watch the catalogue head

The store of the tests now reports changes to a watch. Of 6 daemons, 2 hold a watch and have a change in force within 200 ms of virtual time; the other 4 wait for their next poll.

--- a/core/src/test/kotlin/boragering/core/CatalogueFakes.kt
+++ b/core/src/test/kotlin/boragering/core/CatalogueFakes.kt
@@ -4,10 +4,11 @@
 import arrow.core.left
 import arrow.core.right
 import kotlinx.collections.immutable.PersistentList
-import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** What happens to one compare-and-swap. */
 internal enum class SwapFault { LOST_AFTER, LOST_BEFORE, LOST_DELAYED, REFUSED }
@@ -20,6 +21,7 @@
     var beforeSwap: suspend (String) -> Unit = {}
     var afterSwap: () -> Unit = {}
     var down = false
+    var watches = 0
     private var revision = 0L
     private var delayed: () -> Unit = {}
 
@@ -68,8 +70,11 @@
         after: StoreRevision,
         timeout: Duration,
     ): Either<StoreFailure, PersistentList<StoredValue>> {
-        delay(timeout)
-        return persistentListOf<StoredValue>().right()
+        watches++
+        return withTimeoutOrNull(timeout) {
+            while (values.values.none { it.key.startsWith(prefix) && it.revision > after }) delay(10.milliseconds)
+            values.values.filter { it.key.startsWith(prefix) && it.revision > after }.toPersistentList()
+        }.orEmpty().toPersistentList().right()
     }
 
     fun swap(key: String, expected: StoreRevision, value: String): SwapOutcome {
@@ -120,8 +125,8 @@
 
 /** This daemon with others that are live. */
 internal class FakePeers(vararg names: String) : Peers {
-    override val live = names.map(::registration).toPersistentList()
-    override val self = live.first()
+    override val self = registration(names.first())
+    override val live = names.sorted().map(::registration).toPersistentList()
 
     private fun registration(name: String) =
         Registration(DaemonId(name), "$name:1", "$name:2", "$name:3", AvailabilityZone("a"), "r")
--- a/core/src/test/kotlin/boragering/core/CatalogueReplicaTest.kt
+++ b/core/src/test/kotlin/boragering/core/CatalogueReplicaTest.kt
@@ -86,6 +86,26 @@
             }
         }
 
+        it("watches the head on 2 of 6 daemons only, and has a change in force at once there") {
+            runTest {
+                val names = List(6) { "daemon-$it" }
+                val counts = names.map { self ->
+                    val store = FakeStore()
+                    published(store, 1)
+                    val replica = replica(store, peers = FakePeers(self, *(names - self).toTypedArray()))
+                    val loop = launch { replica.run() }
+                    advanceTimeBy(3.seconds)
+                    CatalogueWriter(store, FakeItems(), FakeClock(), Random(2))
+                        .apply(Documents.request(1, "t", Documents.service("b")))
+                    advanceTimeBy(200.milliseconds)
+                    loop.cancel()
+                    (store.watches > 0) to replica.current()?.revision
+                }
+                counts.count { it == true to 2L } shouldBe 2
+                counts.count { it == false to 1L } shouldBe 4
+            }
+        }
+
         it("ignores a document that it cannot read") {
             val items = FakeItems()
             val events = ArrayList<TimelineEntry>()
