Answer one test's request without closing its sending side

Cause: the test closed its sending side to get the connection's end, and the server may take that for a caller that went away and cancel the request.

Ruled out: a fault of the answer; with 'Connection: close' the same check holds.

--- a/adapters/src/main/kotlin/boragering/adapters/PeerConnection.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/PeerConnection.kt
@@ -50,7 +50,6 @@
     @Volatile
     private var lastReceived = ports.clock.monotonic()
 
-
     /** Sends and receives until the link fails, is silent for too long, or the caller is cancelled. */
     suspend fun run(): Unit = coroutineScope {
         launch { closing { write() } }
--- a/adapters/src/test/kotlin/boragering/adapters/SocketPeerLinkTest.kt
+++ b/adapters/src/test/kotlin/boragering/adapters/SocketPeerLinkTest.kt
@@ -11,7 +11,6 @@
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.ints.shouldBeGreaterThan
-import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.withTimeout
 import kotlin.time.Duration.Companion.milliseconds
--- a/core/src/test/kotlin/boragering/core/CatalogueReplicaTest.kt
+++ b/core/src/test/kotlin/boragering/core/CatalogueReplicaTest.kt
@@ -90,7 +90,7 @@
             runTest {
                 val names = List(6) { "daemon-$it" }
                 val counts = names.map { self ->
-                    val store = FakeStore()
+                    val store = ScriptedStore()
                     published(store, 1)
                     val replica = replica(store, peers = FakePeers(self, *(names - self).toTypedArray()))
                     val loop = launch { replica.run() }
--- a/core/src/test/kotlin/boragering/core/CatalogueWriterTest.kt
+++ b/core/src/test/kotlin/boragering/core/CatalogueWriterTest.kt
@@ -88,7 +88,7 @@
 
         it("of a write that takes effect late is accepted once") {
             runTest {
-                val store = FakeStore().apply { faults += SwapFault.LOST_DELAYED }
+                val store = ScriptedStore().apply { faults += SwapFault.LOST_DELAYED }
                 writer(store).apply(Documents.request(0, "t1", Documents.service("a"))).revision shouldBe 1
                 loaded(store).state.revision shouldBe 1
             }
@@ -96,7 +96,7 @@
 
         it("stays unknown when later tries are certain to have failed, since the first may still take effect") {
             runTest {
-                val store = FakeStore().apply {
+                val store = ScriptedStore().apply {
                     faults += SwapFault.LOST_BEFORE
                     repeat(20) { faults += SwapFault.REFUSED }
                 }
--- a/daemon/src/main/kotlin/boragering/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/Daemon.kt
@@ -23,8 +23,8 @@
 import boragering.core.DomainController
 import boragering.core.EchoBook
 import boragering.core.GroupHealth
-import boragering.core.HealthSettings
 import boragering.core.HandshakeIdentity
+import boragering.core.HealthSettings
 import boragering.core.HybridClock
 import boragering.core.HybridTime
 import boragering.core.ItemReplica
--- a/daemon/src/main/kotlin/boragering/daemon/DaemonOperator.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/DaemonOperator.kt
@@ -27,7 +27,7 @@
 import boragering.core.toTimelineEvent
 
 /** The parts of the daemon that operators ask about. */
-internal class OperatorSources(
+internal data class OperatorSources(
     val peers: Peers,
     val catalogue: CatalogueSource,
     val divisions: DivisionSource,
--- a/daemon/src/test/kotlin/boragering/daemon/AnswerWriterTest.kt
+++ b/daemon/src/test/kotlin/boragering/daemon/AnswerWriterTest.kt
@@ -64,7 +64,7 @@
 
     fun connect(port: Int): Socket =
         Socket("127.0.0.1", port).apply {
-            getOutputStream().write("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n".toByteArray())
+            getOutputStream().write("POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n".toByteArray())
             getOutputStream().flush()
         }
 
@@ -129,10 +129,7 @@
         it("is answered with the problem") {
             val answer =
                 serving({ _, _ -> RequestResult.Failed(broken, started = false) }) { port ->
-                    connect(port).use {
-                        it.shutdownOutput()
-                        it.getInputStream().readAllBytes().decodeToString()
-                    }
+                    connect(port).use { it.getInputStream().readAllBytes().decodeToString() }
                 }
             answer shouldStartWith "HTTP/1.1 502"
             answer shouldContain "Retry-After: 1"
