Follow reports and refusals for a target's free slots

Cause: the reported load was discounted by age for the free slots as well, so each daemon took slots that others held; and a refusal cut the daemon's own limit by a fifth, which came back slowly and left slots idle. Now the report holds undiscounted until the next one, and a refusal replaces it: all slots but this daemon's own are taken. The discount remains for the choice between targets.

A daemon without any request on a target may try one per report although the report shows no room, so that a wrong report cannot keep it off for ever.

--- a/core/src/main/kotlin/boragering/core/EntryTargets.kt
+++ b/core/src/main/kotlin/boragering/core/EntryTargets.kt
@@ -28,7 +28,12 @@
      * of each target's slots and of all slots together.
      */
     fun place(long: Boolean, longShare: Double, avoid: Set<GroupId>, now: Duration): Candidate? {
-        val free = free(long, longShare, now)
+        val free = free(long, longShare, now).ifEmpty {
+            candidates.filter { candidate ->
+                val load = loads.getValue(candidate.group)
+                !long && load.ejectedUntil <= now && load.mayProbe(candidate, now)
+            }
+        }
         val preferred = free.filter { it.group !in avoid }.ifEmpty { free }
         return selector.select(views(preferred, now))?.candidate
     }
@@ -64,10 +69,10 @@
     /** Counts the end of a request. Returns whether the target was ejected because of it. */
     fun ended(candidate: Candidate, long: Boolean, end: AttemptEnd, now: Duration): Boolean {
         val load = loads.getValue(candidate.group)
-        if (end is AttemptEnd.NoCapacity) load.refused()
+        if (end is AttemptEnd.NoCapacity) load.refused(candidate.slots, now)
         load.ended(now)
         if (long) load.longInFlight--
-        if (end is AttemptEnd.Succeeded) load.succeeded(end.firstPart, candidate.slots)
+        if (end is AttemptEnd.Succeeded) load.succeeded(end.firstPart)
         if (end is AttemptEnd.TargetFailed) load.failed()
         val slow = TargetLatencies.slow(load.latency, typicalLatency())
         val eject = (load.failing || slow) && mayEject(now) && load.ejectedUntil <= now
--- a/core/src/main/kotlin/boragering/core/TargetLoad.kt
+++ b/core/src/main/kotlin/boragering/core/TargetLoad.kt
@@ -1,6 +1,5 @@
 package boragering.core
 
-import kotlin.math.ceil
 import kotlin.math.pow
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -10,8 +9,9 @@
 internal class TargetLoad(now: Duration) {
     private val history = InFlightHistory(now)
 
-    /** Own requests at which the target refused one; grows again with each success. */
-    private var limit = Double.MAX_VALUE
+    /** Requests of other daemons that a refusal showed at [refusedAt]; a newer report takes its place. */
+    private var shownByRefusal = 0
+    private var refusedAt: Duration? = null
     private var failuresInRow = 0
     private var samples = 0
     private var ejections = 0
@@ -35,21 +35,30 @@
     val failing: Boolean get() = failuresInRow >= FAILURES_TO_EJECT
 
     /** Requests that the target can take now, as far as this daemon knows. */
-    fun free(candidate: Candidate, now: Duration): Int =
-        ceil(capacity(candidate) - inFlight - others(candidate, now) - ROUNDING).toInt().coerceAtLeast(0)
+    fun free(candidate: Candidate, now: Duration): Int = candidate.slots - inFlight - others(candidate, now)
 
-    /** Estimated fraction of the target's slots in use. */
-    fun load(candidate: Candidate, now: Duration): Double =
-        (inFlight + others(candidate, now)) / capacity(candidate).coerceAtLeast(1.0)
+    /**
+     * Whether one request may be tried although the report shows no room: a report that is wrong, or other daemons that
+     * take each slot as it becomes free, must not keep this daemon off the target for ever.
+     */
+    fun mayProbe(candidate: Candidate, now: Duration): Boolean =
+        inFlight == 0 && candidate.slots > 0 && (refusedAt ?: Duration.ZERO) <= now - candidate.reportAge
 
-    /** Requests that the target can have at the same time; fewer than its slots after it refused some. */
-    fun capacity(candidate: Candidate): Double = minOf(limit, candidate.slots.toDouble())
+    /**
+     * Estimated fraction of the target's slots in use. An old report counts less: a target that was loaded a while ago
+     * is as good a choice as one of which nothing is known.
+     */
+    fun load(candidate: Candidate, now: Duration): Double {
+        val others = others(candidate, now) * HALF.pow(candidate.reportAge / REPORT_HALF_LIFE)
+        return (inFlight + others) / candidate.slots.coerceAtLeast(1)
+    }
 
-    /** The reported requests that this daemon did not send; an old report counts less. */
-    private fun others(candidate: Candidate, now: Duration): Double {
-        val own = history.before(now - candidate.reportAge)
-        val reported = (candidate.running + candidate.queued - own).coerceAtLeast(0)
-        return reported * HALF.pow(candidate.reportAge / REPORT_HALF_LIFE)
+    /** The requests on the target that this daemon did not send, by the last report or refusal. */
+    private fun others(candidate: Candidate, now: Duration): Int {
+        val reportedAt = now - candidate.reportAge
+        val reported = candidate.running + candidate.queued - history.before(reportedAt)
+        val refused = refusedAt
+        return (if (refused != null && refused > reportedAt) shownByRefusal else reported).coerceAtLeast(0)
     }
 
     fun started(now: Duration) {
@@ -62,12 +71,11 @@
         history.set(now, inFlight)
     }
 
-    /** An answer came whole; [firstPart] is how long its first part took, [slots] the target's slots. */
-    fun succeeded(firstPart: Duration, slots: Int) {
+    /** An answer came whole; [firstPart] is how long its first part took. */
+    fun succeeded(firstPart: Duration) {
         failuresInRow = 0
         samples++
         average = if (samples == 1) firstPart else average + (firstPart - average) * SAMPLE_WEIGHT
-        limit = (limit + 1.0 / limit).coerceAtMost(slots.toDouble())
     }
 
     /** The target failed during a request. */
@@ -75,9 +83,10 @@
         failuresInRow++
     }
 
-    /** The target refused a request for lack of capacity. */
-    fun refused() {
-        limit = (minOf(limit, inFlight.toDouble()) * DECREASE).coerceAtLeast(1.0)
+    /** The target refused a request for lack of capacity: all its slots but those of this daemon are taken. */
+    fun refused(slots: Int, now: Duration) {
+        shownByRefusal = slots - (inFlight - 1)
+        refusedAt = now
     }
 
     /** Ejects the target; each further time it lasts longer. What was measured is forgotten. */
@@ -92,11 +101,7 @@
         const val MINIMUM_SAMPLES = 5
         const val SAMPLE_WEIGHT = 0.2
         const val FAILURES_TO_EJECT = 3
-        const val DECREASE = 0.8
         const val HALF = 0.5
-
-        /** Half a request of other daemons does not take a slot. */
-        const val ROUNDING = 0.5
         val REPORT_HALF_LIFE = 1.seconds
         val FIRST_EJECTION = 5.seconds
         val LONGEST_EJECTION = 60.seconds
--- a/core/src/test/kotlin/boragering/core/FakeTarget.kt
+++ b/core/src/test/kotlin/boragering/core/FakeTarget.kt
@@ -35,6 +35,12 @@
     var workTime = 10.milliseconds
     var status = CREATED
 
+    /** Requests that each address takes at the same time; it refuses more. */
+    var slots = Int.MAX_VALUE
+    val running = HashMap<String, Int>()
+    var refused = 0
+        private set
+
     /** Work time and number of events of a request, when they differ between requests. */
     var work: (TargetCall) -> Pair<Duration, Int> = { workTime to 2 }
 
@@ -43,13 +49,18 @@
 
     override suspend fun send(call: TargetCall, receive: suspend (AnswerPart) -> Unit): Either<TargetFailure, Unit> {
         sent.add(call)
-        val fault = faults[sent.size] ?: always
+        val full = (running[call.address] ?: 0) >= slots
+        if (full) refused++
+        val fault = if (full) TargetFault.REFUSED else faults[sent.size] ?: always
+        if (!full) running.merge(call.address, 1, Int::plus)
         try {
             delay(1.milliseconds)
             return answer(call, fault, receive)
         } catch (cancellation: CancellationException) {
             cancelled.add(call.request)
             throw cancellation
+        } finally {
+            if (!full) running.merge(call.address, -1, Int::plus)
         }
     }
 
--- a/core/src/test/kotlin/boragering/core/RequestWorld.kt
+++ b/core/src/test/kotlin/boragering/core/RequestWorld.kt
@@ -149,10 +149,14 @@
 class FakeDirectory(private val entry: EntryName) : TargetDirectory {
     var targets = listOf("a", "b").map { candidate(it) }
     val leaving = ArrayList<GroupId>()
+
+    /** Age of the reports that [targets] hold. */
+    var age: () -> Duration = { Duration.ZERO }
     var usable: (Candidate) -> Boolean = { true }
 
     override fun candidates(entry: EntryName): PersistentList<Candidate> =
-        if (entry == this.entry) targets.filter { it.group !in leaving }.toPersistentList() else persistentListOf()
+        targets.filter { entry == this.entry && it.group !in leaving }.map { it.copy(reportAge = age()) }
+            .toPersistentList()
 
     override fun usable(candidate: Candidate): Boolean = usable.invoke(candidate) && candidate.group !in leaving
 
