Test a delayed claim write that arrives after the claim was closed

With the guard off that writes a not-run claim where the claim is absent, no test failed: the delayed write arrived before the closing one each time.

--- a/core/src/test/kotlin/boragering/core/ClaimLedgerTest.kt
+++ b/core/src/test/kotlin/boragering/core/ClaimLedgerTest.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.test.runTest
 import kotlin.time.Duration.Companion.days
 import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
@@ -58,15 +59,18 @@
     }
 
     describe("a write whose response was lost") {
-        it("that is delayed can not take effect after the caller was told that the claim was refused") {
-            runTest {
-                val world = RequestWorld(this, RequestWorld.service())
-                // The write is delayed, and the store cannot be read back within the bounded tries.
-                world.store.faults = mapOf(2 to StoreFault.DELAYED) + (3..8).associateWith { StoreFault.DOWN }
-                world.open("key").problem().outcome shouldBe Outcome.UNKNOWN
-                delay(30.seconds)
-                val claim = world.store.values.values.single().let { ClaimCodec.decode(it) }?.claims?.values?.single()
-                claim?.state shouldBe ClaimState.NotRun
+        for (delayedBy in listOf(40.milliseconds, 20.seconds)) {
+            it("that is delayed by $delayedBy leaves no pending claim after the caller was told of the failure") {
+                runTest {
+                    val world = RequestWorld(this, RequestWorld.service())
+                    world.store.delayedBy = delayedBy
+                    // The write is delayed, and the store cannot be read back within the bounded tries.
+                    world.store.faults = mapOf(2 to StoreFault.DELAYED) + (3..8).associateWith { StoreFault.DOWN }
+                    world.open("key").problem().outcome shouldBe Outcome.UNKNOWN
+                    delay(30.seconds)
+                    val claims = ClaimCodec.decode(world.store.values.values.single())?.claims
+                    claims?.values?.single()?.state shouldBe ClaimState.NotRun
+                }
             }
         }
     }
--- a/core/src/test/kotlin/boragering/core/FakeStore.kt
+++ b/core/src/test/kotlin/boragering/core/FakeStore.kt
@@ -20,6 +20,9 @@
     var faults: Map<Int, StoreFault> = emptyMap()
     var down = false
     var latency = 2.milliseconds
+
+    /** When a delayed write arrives; usually after the writer has read the key back. */
+    var delayedBy = 40.milliseconds
     var calls = 0
         private set
     var writes = 0
@@ -49,7 +52,7 @@
         }
         StoreFault.DELAYED -> {
             scope.launch {
-                delay(DELAY)
+                delay(delayedBy)
                 swap(key, expected, value)
             }
             StoreFailure.Uncertain("lost").left()
@@ -89,9 +92,4 @@
     ): Either<StoreFailure, PersistentList<StoredValue>> = persistentListOf<StoredValue>().right()
 
     private fun unused(): Nothing = error("claims do not use this call")
-
-    companion object {
-        /** A delayed write arrives after the writer has read the key back. */
-        private val DELAY = 40.milliseconds
-    }
 }
