Test two planners that do not know one another

Each store call in turn fails in each of three ways: not applied, response lost, applied late. Twenty seeds add random faults at every store call together with restarts, moves between domains, replayed orders and partitions. At no time is an instance in two groups, each fencing number has one membership, each order follows from a stored division, and both planners agree on two whole groups when the faults end.

--- a/core/src/test/kotlin/boragering/core/DomainControllerTest.kt
+++ b/core/src/test/kotlin/boragering/core/DomainControllerTest.kt
@@ -272,9 +272,6 @@
     }
 }
 
-private fun GroupWorld.follower(group: Group): WorldEngine =
-    engines.values.first { engine -> group.members.any { it.instance == engine.id && it.instance != group.leader } }
-
 private fun GroupWorld.plannerAndHolder(): Pair<WorldDaemon, WorldDaemon> {
     val both = listOf(daemon("d1", "d2"), daemon("d2", "d1"))
     return both.first { it.peers.plans(FabricDomain("f1")) } to both.first { !it.peers.plans(FabricDomain("f1")) }
--- a/core/src/test/kotlin/boragering/core/GroupWorld.kt
+++ b/core/src/test/kotlin/boragering/core/GroupWorld.kt
@@ -65,7 +65,7 @@
 }
 
 /** An engine, or an instance of a plain service when [pool] is `service`. */
-internal class WorldEngine(name: String, val domain: String, val pool: String, private val clock: Clock) {
+internal class WorldEngine(name: String, var domain: String, val pool: String, private val clock: Clock) {
     val id = InstanceId(name)
     val address = "$name:1"
     var incarnation = Incarnation("$name-1")
@@ -307,3 +307,7 @@
     (1..domains).forEach { domain -> (1..perDomain).forEach { world.engine("i$domain-$it", "f$domain") } }
     return world
 }
+
+/** The engine of a member of [group] that is not its leader. */
+internal fun GroupWorld.follower(group: Group): WorldEngine =
+    engines.values.first { engine -> group.members.any { it.instance == engine.id && it.instance != group.leader } }
--- /dev/null
+++ b/core/src/test/kotlin/boragering/core/RivalPlannersTest.kt
@@ -0,0 +1,135 @@
+package boragering.core
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.runTest
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Two daemons that do not know one another, so that each plans every domain, at the same time. */
+class RivalPlannersTest : DescribeSpec({
+    val faults = StoreFault.entries - StoreFault.NONE
+    describe("two planners of the same domains") {
+        faults.forEach { kind ->
+            it("agree with $kind at each store call in turn (guards against shared instances after a lost response)") {
+                var call = 0
+                do {
+                    var calls = 0
+                    runTest {
+                        val world = groupWorld(domains = 2, perDomain = 5)
+                        world.store.fault = { if (it == call) kind else StoreFault.NONE }
+                        val rivals = listOf(world.daemon("d1"), world.daemon("d2"))
+                        withClue("fault at call $call") {
+                            world.awaitAgreement(rivals)
+                            world.groups().forEach { world.follower(it).reachable = false }
+                            delay(LOSS)
+                            world.awaitAgreement(rivals)
+                            world.checkHistory()
+                        }
+                        calls = world.store.calls
+                    }
+                } while (++call < minOf(calls, CALLS))
+                call shouldBeGreaterThanOrEqual FEWEST_CALLS
+            }
+        }
+
+        (0 until SEEDS).forEach { seed ->
+            it("never share an instance with seed $seed (guards against splits by conflicts and stale reports)") {
+                runTest {
+                    val random = Random(seed)
+                    val world = groupWorld(domains = 2, perDomain = 4)
+                    world.store.fault = { StoreFault.entries.random(random) }
+                    val rivals = listOf(world.daemon("d1"), world.daemon("d2"))
+                    val disturbance = launch { world.disturb(random, rivals) }
+                    while (disturbance.isActive) {
+                        delay(GroupWorld.STEP)
+                        withClue("seed $seed") { world.checkNow(rivals) }
+                    }
+                    world.store.fault = { StoreFault.NONE }
+                    withClue("seed $seed") {
+                        world.awaitAgreement(rivals)
+                        world.checkHistory()
+                    }
+                }
+            }
+        }
+    }
+}) {
+    private companion object {
+        const val SEEDS = 20
+        const val CALLS = 40
+
+        /** A read, a first write and a repair's write of two planners for two domains. */
+        const val FEWEST_CALLS = 12
+        val LOSS = 3.seconds
+    }
+}
+
+/** Cuts engines off from one or both planners, restarts them, moves them between domains and replays old orders. */
+private suspend fun GroupWorld.disturb(random: Random, rivals: List<WorldDaemon>) {
+    repeat(DISTURBANCES) {
+        val engine = engines.values.random(random)
+        when (random.nextInt(KINDS)) {
+            0 -> engine.reachable = !engine.reachable
+            1 -> engine.restart()
+            2 -> {
+                engine.domain = if (engine.domain == "f1") "f2" else "f1"
+                engine.restart()
+            }
+            3 -> engine.orders.randomOrNull(random)?.let { engine.take(it) }
+            else -> rivals.random(random).reaches = { it !== engine }
+        }
+        delay(random.nextLong(LONGEST_PAUSE).milliseconds)
+    }
+    engines.values.forEach { it.reachable = true }
+    rivals.forEach { rival -> rival.reaches = { true } }
+    // Each domain gets its half of the instances back, so that two groups fit again.
+    engines.values.forEachIndexed { index, engine ->
+        val home = if (index < engines.size / 2) "f1" else "f2"
+        if (engine.domain != home) {
+            engine.domain = home
+            engine.restart()
+        }
+    }
+}
+
+private suspend fun GroupWorld.awaitAgreement(rivals: List<WorldDaemon>) =
+    await("both planners hold two whole groups", AGREEMENT) {
+        checkNow(rivals)
+        rivals.all { it.candidates().size == 2 }
+    }
+
+private fun GroupWorld.checkNow(rivals: List<WorldDaemon>) {
+    val members = groups().flatMap { it.members }.groupingBy { it }.eachCount()
+    members.filterValues { it > 1 }.keys.shouldBeEmpty()
+    rivals.forEach { rival ->
+        val whole = rival.candidates().map { it.group }
+        val held = rival.divisions.current().values.flatMap { it.groups }.filter { it.id in whole }
+        held.flatMap { group -> group.members.map { it.instance } }
+            .groupingBy { it }.eachCount().filterValues { it > 1 }.keys.shouldBeEmpty()
+    }
+}
+
+/** Each fencing number has one membership, and each order follows from a division that was stored. */
+private fun GroupWorld.checkHistory() {
+    val stated = store.history.flatMap { it.groups }.groupBy { GroupKey(it.id, it.fence) }
+    stated.filterValues { groups -> groups.distinctBy { it.members to it.leader }.size > 1 }.keys.shouldBeEmpty()
+    engines.values.forEach { engine ->
+        engine.orders.filterIsInstance<Order.Load>()
+            .filter { order -> stated[GroupKey(order.group, order.fence)].orEmpty().none { it.has(engine.id) } }
+            .shouldBeEmpty()
+    }
+}
+
+private fun Group.has(instance: InstanceId) = members.any { it.instance == instance }
+
+private val AGREEMENT: Duration = 90.seconds
+private const val DISTURBANCES = 30
+private const val KINDS = 5
+private const val LONGEST_PAUSE = 4000L
