--- a/core/src/main/kotlin/boragering/core/Division.kt
+++ b/core/src/main/kotlin/boragering/core/Division.kt
@@ -7,6 +7,7 @@
  * The division of one fabric domain's instances into groups. It is stored as one document and changed only by
  * compare-and-swap, so that an instance is never in two groups. [unusable] names listed instances of the domain that
  * its planner found silent, leaving or unable to load, so that planners of other domains do not count on them.
+ * [catalogueRevision] is the revision that it was planned for; a planner with a lower one leaves it as it is.
  *
  * @throws IllegalArgumentException when an instance or a group identity stands twice.
  */
@@ -17,6 +18,7 @@
     val groups: List<Group> = emptyList(),
     val events: List<DivisionEvent> = emptyList(),
     val unusable: List<InstanceId> = emptyList(),
+    val catalogueRevision: Long = 0,
 ) {
     init {
         val instances = groups.flatMap { group -> group.members.map { it.instance } }
--- a/core/src/main/kotlin/boragering/core/Planner.kt
+++ b/core/src/main/kotlin/boragering/core/Planner.kt
@@ -4,8 +4,18 @@
  * Plans one fabric domain: which groups to drain, remove, repair, dissolve and form, which orders to send, and what
  * cannot be repaired. The result depends on [input] alone. An instance is assigned to at most one group, and only in
  * the domain that the live list gives for it.
+ *
+ * With a catalogue older than the one that the division was planned for, nothing changes, so that a planner that has
+ * not yet learned of a change to the catalogue does not revert it.
  */
-fun plan(input: PlanningInput): Plan {
+fun plan(input: PlanningInput): Plan =
+    if (input.catalogue.revision < input.division.catalogueRevision) {
+        Plan(null, input.ordersFor(input.division), emptyList(), emptyList(), emptyList())
+    } else {
+        applyRules(input)
+    }
+
+private fun applyRules(input: PlanningInput): Plan {
     val draft = PlanningDraft(input)
     draft.removeDrainedGroups()
     draft.drainUnwantedGroups()
--- a/core/src/main/kotlin/boragering/core/PlanningDraft.kt
+++ b/core/src/main/kotlin/boragering/core/PlanningDraft.kt
@@ -23,8 +23,7 @@
      * The version that this step writes. It is above every fencing number that an instance of the domain reports, so
      * that orders are accepted even if the store was restored from an old copy.
      */
-    val version: Long =
-        maxOf(present.version, input.listed.keys.maxOfOrNull { input.recent(it)?.fence?.value ?: 0 } ?: 0) + 1
+    val version: Long = 1 + maxOf(present.version, highestReportedFence())
 
     /** The groups as changed so far. */
     val groups: Collection<Group> get() = groupsById.values
@@ -70,10 +69,20 @@
             groups,
             (present.events + events).takeLast(KEPT_EVENTS),
             unusable,
+            input.catalogue.revision,
         )
     }
 
+    private fun highestReportedFence(): Long =
+        input.listed.keys
+            .mapNotNull { input.recent(it)?.fence?.value }
+            .filter { it <= present.version + LARGEST_JUMP }
+            .maxOrNull() ?: 0
+
     private companion object {
+        /** One faulty engine that reports an absurd number must not exhaust the numbers of its domain. */
+        const val LARGEST_JUMP = 1_000_000L
+
         const val KEPT_EVENTS = 50
     }
 }
