Count the fleet again only when the live list changes

Each read of the list made a new object, so that the fleet was counted every second. An unchanged list now keeps its content, and with it the count.

--- a/core/src/main/kotlin/boragering/core/DomainController.kt
+++ b/core/src/main/kotlin/boragering/core/DomainController.kt
@@ -187,14 +187,20 @@
         val catalogue = state.catalogue.current()
         val read = list.current
         val known = state.divisions.current()
-        val unchanged = view?.let { it.catalogue === catalogue && it.list === read && divisions === known } ?: false
-        if (!unchanged) {
-            divisions = known
-            view = if (catalogue == null || read == null) null else count(catalogue, read, known)
+        val last = view
+        view = when {
+            catalogue == null || read == null -> null
+            last != null && last.isOf(catalogue, read) && divisions === known ->
+                FleetView(catalogue, read, last.fleet, last.distribution)
+            else -> count(catalogue, read, known)
         }
+        divisions = known
         return view
     }
 
+    private fun FleetView.isOf(present: Catalogue, read: InstanceList): Boolean =
+        catalogue === present && list.instances === read.instances
+
     private fun count(catalogue: Catalogue, read: InstanceList, known: Map<FabricDomain, Division>): FleetView {
         val fleet = Fleet.of(catalogue, read.instances.values, known)
         return FleetView(catalogue, read, fleet, Distribution.of(catalogue, fleet))
--- a/core/src/main/kotlin/boragering/core/LiveListReader.kt
+++ b/core/src/main/kotlin/boragering/core/LiveListReader.kt
@@ -6,10 +6,11 @@
 import kotlin.time.Duration
 
 /** The live list as read at [readAt] by the monotonic clock. */
-internal class InstanceList(val instances: PersistentMap<InstanceId, ListedInstance>, val readAt: Duration) {
-    private val byDomain = instances.values.groupBy { it.fabricDomain }
-        .mapValues { (_, part) -> part.associateBy { it.id }.toPersistentMap() }
-
+internal class InstanceList private constructor(
+    val instances: PersistentMap<InstanceId, ListedInstance>,
+    private val byDomain: Map<FabricDomain, PersistentMap<InstanceId, ListedInstance>>,
+    val readAt: Duration,
+) {
     /** All domains with listed instances. */
     val domains: Set<FabricDomain> get() = byDomain.keys
 
@@ -18,6 +19,17 @@
 
     /** Whether the list says that [instance] is leaving. */
     fun leaving(instance: InstanceId): Boolean = instances[instance]?.state == ListedState.LEAVING
+
+    companion object {
+        /** The list [read] at [at]. It shares an equal content of [known], so that it is not counted anew. */
+        fun of(read: List<ListedInstance>, at: Duration, known: InstanceList?): InstanceList {
+            val instances = read.associateBy { it.id }
+            if (known != null && known.instances == instances) return InstanceList(known.instances, known.byDomain, at)
+            val byDomain = instances.values.groupBy { it.fabricDomain }
+                .mapValues { (_, part) -> part.associateBy { it.id }.toPersistentMap() }
+            return InstanceList(instances.toPersistentMap(), byDomain, at)
+        }
+    }
 }
 
 /**
@@ -41,7 +53,7 @@
                 fail("the list is empty")
             } else {
                 failing = false
-                current = InstanceList(listed.associateBy { it.id }.toPersistentMap(), at)
+                current = InstanceList.of(listed, at, known)
             }
         }
     }
