Ask another peer for an item that did not arrive

With 3 of 10 messages lost, a large item needed 7.6 s to reach 50 daemons in the test, since a lost request was repeated only by anti-entropy, whose exchange has five messages.

--- a/core/src/main/kotlin/boragering/core/Dissemination.kt
+++ b/core/src/main/kotlin/boragering/core/Dissemination.kt
@@ -27,7 +27,8 @@
     private val random = LockedRandom(random)
     private val lock = ReentrantLock()
     private val rumours = HashMap<String, Int>()
-    private val exchange = ItemExchange(items, link, clock)
+    private val requests = ItemRequests(items, link, clock)
+    private val exchange = ItemExchange(items, link, requests)
 
     init {
         items.listen("") { item -> lock.withLock { rumours[item.key] = ROUNDS } }
@@ -41,6 +42,7 @@
 
     /** One round of rumour mongering; each item known as new is sent to [FANOUT] random live peers. */
     fun spread() {
+        requests.retry()
         val recipients = randomPeers(FANOUT)
         if (recipients.isEmpty()) return
         val newer = lock.withLock {
@@ -54,7 +56,6 @@
 
     /** Starts a comparison of all versions with one random live peer. */
     fun compare() {
-        exchange.expire()
         randomPeers(1).forEach { link.send(it, PeerMessage.DigestSummary(ItemDigest.summary(items.all("")))) }
     }
 
--- a/core/src/main/kotlin/boragering/core/ItemExchange.kt
+++ b/core/src/main/kotlin/boragering/core/ItemExchange.kt
@@ -1,23 +1,15 @@
 package boragering.core
 
-import java.util.concurrent.locks.ReentrantLock
-import kotlin.concurrent.withLock
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
-
 /** The answers to the messages with which daemons pass items on; see [Dissemination]. */
 internal class ItemExchange(
     private val items: ItemReplica,
     private val link: PeerLink,
-    private val clock: Clock,
+    private val requests: ItemRequests,
 ) {
-    private val lock = ReentrantLock()
-    private val requests = HashMap<String, SentRequest>()
-
     fun handle(from: DaemonId, message: PeerMessage) {
         when (message) {
             is PeerMessage.Items -> take(from, message.items)
-            is PeerMessage.Announcement -> request(from, message.versions)
+            is PeerMessage.Announcement -> requests.request(from, message.versions)
             is PeerMessage.DigestSummary -> answer(from, message)
             is PeerMessage.BucketDigest -> answer(from, message)
             is PeerMessage.Digest -> answer(from, message)
@@ -30,7 +22,7 @@
     private fun take(from: DaemonId, received: List<Item>) {
         val newer = received.mapNotNull { item ->
             items.accept(item)
-            lock.withLock { requests.remove(item.key) }
+            requests.arrived(item.key)
             items.get(item.key)?.takeIf { it.version > item.version }
         }
         offer(from, newer)
@@ -67,20 +59,7 @@
                 item.version > (message.versions[item.key] ?: Long.MIN_VALUE)
         }
         sendItems(from, newer)
-        request(from, message.versions)
-    }
-
-    /** Asks for the newer ones of [versions], but not for one that was asked of another peer a moment ago. */
-    private fun request(from: DaemonId, versions: Map<String, Long>) {
-        val now = clock.monotonic()
-        val lacking = versions.filter { (key, version) -> version > (items.get(key)?.version ?: Long.MIN_VALUE) }
-        val due = lock.withLock {
-            lacking.filter { (key, version) ->
-                val sent = requests[key]
-                sent == null || sent.version < version || now - sent.at >= REQUEST_TIMEOUT
-            }.onEach { (key, version) -> requests[key] = SentRequest(version, now) }
-        }
-        due.keys.chunked(KEYS_PER_MESSAGE).forEach { link.send(from, PeerMessage.ItemRequest(it)) }
+        requests.request(from, message.versions)
     }
 
     /** Sends [wanted] in messages of bounded size, and no more than [BURST]; the next comparison sends the rest. */
@@ -93,19 +72,8 @@
         batches(sent) { it.content.length + it.key.length }.forEach { link.send(to, PeerMessage.Items(it)) }
     }
 
-    /** Drops requests that were not answered in time. */
-    fun expire() {
-        lock.withLock { requests.values.removeIf { clock.monotonic() - it.at >= REQUEST_TIMEOUT } }
-    }
-
-    private data class SentRequest(val version: Long, val at: Duration)
-
     private companion object {
-        /** Time after which an item is asked of another peer. */
-        val REQUEST_TIMEOUT = 1.seconds
-
         const val SMALL_CONTENT = 512
-        const val KEYS_PER_MESSAGE = 1_000
         const val BURST = 4 * 1024 * 1024
     }
 }
@@ -128,4 +96,6 @@
     return result
 }
 
+/** Keys in one message; a key has some tens of bytes. */
+internal const val KEYS_PER_MESSAGE = 1_000
 private const val BATCH_SIZE = 256 * 1024
