Repeat requests for items in turn among the peers that have them

In trials in virtual time with 3 of 10 messages lost, an item of 16 KiB needed up to 20 s to reach 430 daemons, since a daemon whose requests failed with every peer it knew had to wait for anti-entropy.

--- a/core/src/main/kotlin/boragering/core/ItemRequests.kt
+++ b/core/src/main/kotlin/boragering/core/ItemRequests.kt
@@ -27,13 +27,13 @@
         ask(from, due.keys)
     }
 
-    /** Asks another peer that has stated the version for each item that did not arrive in time. */
+    /** Asks the next peer that has stated the version for each item that did not arrive in time. */
     fun retry() {
         val now = clock.monotonic()
         val due = lock.withLock {
             val late = requests.filter { (_, request) -> now - request.at >= REQUEST_TIMEOUT }
             requests -= late.keys
-            val next = late.filter { (key, request) -> request.others.isNotEmpty() && lacks(key, request.version) }
+            val next = late.filter { (key, request) -> request.attempt < ATTEMPTS && lacks(key, request.version) }
             next.forEach { (key, request) -> requests[key] = request.next(now) }
             next.keys.groupBy { requests.getValue(it).asked }
         }
@@ -50,20 +50,28 @@
         lock.withLock { requests.remove(key) }
     }
 
-    private class PendingRequest(val version: Long, val at: Duration, val asked: DaemonId) {
-        val others = LinkedHashSet<DaemonId>()
+    private class PendingRequest(val version: Long, val at: Duration, val asked: DaemonId, val attempt: Int = 1) {
+        private val others = LinkedHashSet<DaemonId>()
 
         fun note(peer: DaemonId) {
             if (peer != asked && others.size < MAXIMUM_OTHERS) others += peer
         }
 
-        fun next(now: Duration): PendingRequest =
-            PendingRequest(version, now, others.first()).also { next -> others.drop(1).forEach(next::note) }
+        /** The next attempt, which asks the peer that was asked longest ago. */
+        fun next(now: Duration): PendingRequest {
+            val order = others + asked
+            val next = PendingRequest(version, now, order.first(), attempt + 1)
+            order.drop(1).forEach(next::note)
+            return next
+        }
     }
 
     private companion object {
         /** Time after which an item is asked of another peer; rumours of it have arrived from several by then. */
         val REQUEST_TIMEOUT = 600.milliseconds
         const val MAXIMUM_OTHERS = 3
+
+        /** Attempts after which the item is left to the comparison of versions. */
+        const val ATTEMPTS = 16
     }
 }
