Keep the stand-ins' records beyond a killed process

Scenarios kill engines and service instances, and with them the records that the checks need: a request that ran on a killed instance would be missing from the count of runs for its idempotency key.

Engines also record when their members were missing, for the check that no request reaches a leader later than the evidence limit after a loss. Control messages and records are public, for the driver.

--- a/standins/src/main/kotlin/boragering/standins/EngineMessages.kt
+++ b/standins/src/main/kotlin/boragering/standins/EngineMessages.kt
@@ -13,7 +13,7 @@
 
 /** What an engine does for its group. */
 @Serializable
-internal enum class EnginePhase {
+enum class EnginePhase {
     @SerialName("idle")
     IDLE,
 
@@ -29,7 +29,7 @@
 
 /** Body of `GET /status`. */
 @Serializable
-internal data class EngineStatus(
+data class EngineStatus(
     val instance: String,
     val incarnation: String,
     val phase: EnginePhase,
@@ -43,12 +43,13 @@
     val modelVersion: String? = null,
 )
 
+/** One member of a group, as a load order names it. */
 @Serializable
-internal data class EngineMember(val instance: String, val address: String)
+data class EngineMember(val instance: String, val address: String)
 
 /** Body of `POST /orders`; a release has only kind, group and fence. */
 @Serializable
-internal data class EngineOrder(
+data class EngineOrder(
     val kind: String,
     val group: String,
     val fence: Long,
@@ -108,7 +109,7 @@
  * refused as not run. While [unreachable], everything but control calls ends with a closed connection.
  */
 @Serializable
-internal data class EngineFaults(
+data class EngineFaults(
     val slowFactor: Double = 1.0,
     val leaving: Boolean = false,
     val wrongIdentity: Int = 0,
--- a/standins/src/main/kotlin/boragering/standins/EngineOptions.kt
+++ b/standins/src/main/kotlin/boragering/standins/EngineOptions.kt
@@ -17,6 +17,9 @@
     @field:Option(name = "--queue", usage = "requests that wait before new ones are refused")
     var queue: Int = DEFAULT_QUEUE
 
+    @field:Option(name = "--journal", usage = "file that records are appended to as they change")
+    var journal: String = ""
+
     /** The id of the instance at [index]. */
     fun instanceId(index: Int): String = if (count == 1) id else "$id-$index"
 
--- a/standins/src/main/kotlin/boragering/standins/EngineRecord.kt
+++ b/standins/src/main/kotlin/boragering/standins/EngineRecord.kt
@@ -4,15 +4,16 @@
 
 /** How a request ended on an engine. */
 @Serializable
-internal enum class RunEnd { RUNNING, COMPLETE, CANCELLED, CLIENT_GONE, MEMBER_LOST, REASSIGNED, BROKEN, UNREACHABLE }
+enum class RunEnd { RUNNING, COMPLETE, CANCELLED, CLIENT_GONE, MEMBER_LOST, REASSIGNED, BROKEN, UNREACHABLE }
 
 /**
  * One request that an engine accepted. Times are wall-clock milliseconds; [started] is absent while the request waits
  * for a slot. [group] and [fence] are what the request named, [servedGroup] and [servedFence] the engine's own.
- * [membersPresent] is what the leader's latest pings said when the request was accepted.
+ * [membersPresent] is what the leader's latest pings said when the request was accepted. [index] counts the requests
+ * that the engine has accepted.
  */
 @Serializable
-internal data class RunRecord(
+data class RunRecord(
     val request: String,
     val idempotencyKey: String?,
     val group: String?,
@@ -29,26 +30,32 @@
     val cachedTokens: Int = 0,
     val tokens: Int = 0,
     val end: RunEnd = RunEnd.RUNNING,
+    val index: Int = 0,
 )
 
 /** A request that an engine refused; [notRun] says whether the refusal promised that it was not run. */
 @Serializable
-internal data class RefusalRecord(val request: String, val status: Int, val notRun: Boolean, val at: Long)
+data class RefusalRecord(val request: String, val status: Int, val notRun: Boolean, val at: Long)
 
 /** An order with its verdict. */
 @Serializable
-internal data class OrderRecord(val order: EngineOrder, val verdict: OrderVerdict, val at: Long)
+data class OrderRecord(val order: EngineOrder, val verdict: OrderVerdict, val at: Long)
+
+/** What a leader's pings of its group's other members found, from [at] on. */
+@Serializable
+data class PresenceChange(val group: String, val fence: Long, val present: Boolean, val at: Long)
 
 /** What an engine did with an order. */
 @Serializable
-internal enum class OrderVerdict { ACCEPTED, NO_CHANGE, STALE }
+enum class OrderVerdict { ACCEPTED, NO_CHANGE, STALE }
 
 /** Body of `GET /control/record` of an engine. */
 @Serializable
-internal data class EngineRecord(
+data class EngineRecord(
     val instance: String,
     val incarnation: String,
-    val requests: List<RunRecord>,
-    val refusals: List<RefusalRecord>,
-    val orders: List<OrderRecord>,
+    val requests: List<RunRecord> = emptyList(),
+    val refusals: List<RefusalRecord> = emptyList(),
+    val orders: List<OrderRecord> = emptyList(),
+    val presence: List<PresenceChange> = emptyList(),
 )
--- a/standins/src/main/kotlin/boragering/standins/EngineRuns.kt
+++ b/standins/src/main/kotlin/boragering/standins/EngineRuns.kt
@@ -3,7 +3,7 @@
 import kotlinx.coroutines.Job
 
 /** The requests that an engine has accepted or refused. */
-internal class EngineRuns {
+internal class EngineRuns(private val journal: EngineJournal) {
     /** A request with its changing record; [cancel] ends it. */
     inner class Run(initial: RunRecord, private val job: Job) {
         private var record = initial
@@ -14,9 +14,15 @@
         /** Changes the record. */
         fun note(change: RunRecord.() -> RunRecord) = synchronized(lock) { record = record.change() }
 
+        /** Changes the record, also in the journal. */
+        fun publish(change: RunRecord.() -> RunRecord) = synchronized(lock) {
+            note(change)
+            journal.append(record)
+        }
+
         /** Sets how the request ended, unless that is known already. */
-        fun end(how: RunEnd) = note {
-            if (end == RunEnd.RUNNING) copy(end = how, ended = System.currentTimeMillis()) else this
+        fun end(how: RunEnd) = synchronized(lock) {
+            if (record.end == RunEnd.RUNNING) publish { copy(end = how, ended = System.currentTimeMillis()) }
         }
 
         /** Ends the request early. */
@@ -42,9 +48,10 @@
 
     /** Adds an accepted request that runs in [job]. */
     fun accept(record: RunRecord, job: Job): Run = synchronized(lock) {
-        Run(record, job).also {
+        Run(record.copy(index = runs.size), job).also {
             runs += it
             active += it
+            journal.append(it.now)
         }
     }
 
@@ -52,7 +59,10 @@
     fun finish(run: Run) = synchronized(lock) { active -= run }
 
     /** Adds a refused request. */
-    fun refuse(refusal: RefusalRecord) = synchronized(lock) { refusals += refusal }
+    fun refuse(refusal: RefusalRecord) = synchronized(lock) {
+        refusals += refusal
+        journal.append(refusal)
+    }
 
     /** Ends all requests, or those with the identity [request]. */
     fun cancel(how: RunEnd, request: String? = null) =
--- a/standins/src/main/kotlin/boragering/standins/EngineStandIn.kt
+++ b/standins/src/main/kotlin/boragering/standins/EngineStandIn.kt
@@ -8,6 +8,9 @@
 
 /** What the engines of one process share. */
 internal class EngineProcess(val options: EngineOptions, val scope: CoroutineScope, val client: HttpClient) {
+    /** Where the engines' records are kept beyond the process. */
+    val journal = Journal(options.journal)
+
     /** Limits weight loads, as the weight store's rate does. */
     val weightLoads = Semaphore(if (options.loadsAtOnce > 0) options.loadsAtOnce else Int.MAX_VALUE)
 }
@@ -19,14 +22,21 @@
     private val members =
         MemberMonitor(id, process.scope, process.client, duration(options.pingInterval), duration(options.pingTimeout))
     private val group = EngineGroup(id, options, process.scope, process.weightLoads, members)
-    private val runs = EngineRuns()
+    private val journal = EngineJournal(id, incarnation, process.journal)
+    private val runs = EngineRuns(journal)
     private val orders = Collections.synchronizedList(mutableListOf<OrderRecord>())
+    private val presence = Collections.synchronizedList(mutableListOf<PresenceChange>())
     private val requests = EngineRequests(options, control, group, members, runs)
 
     init {
         group.interrupt = { runs.cancel(RunEnd.REASSIGNED) }
         group.activeRequests = { runs.activeCount }
-        members.lost = { runs.cancel(RunEnd.MEMBER_LOST) }
+        members.changed = { order, present ->
+            val change = PresenceChange(order.group, order.fence, present, System.currentTimeMillis())
+            presence += change
+            journal.append(change)
+            if (!present) runs.cancel(RunEnd.MEMBER_LOST)
+        }
     }
 
     /** Serves one request. */
@@ -52,7 +62,9 @@
             exchange.respondJson(control.faults)
         }
         "/control/record" ->
-            exchange.respondJson(EngineRecord(id, incarnation, runs.records(), runs.refusals(), orders.toList()))
+            exchange.respondJson(
+                EngineRecord(id, incarnation, runs.records(), runs.refusals(), orders.toList(), presence.toList())
+            )
         else -> exchange.respond(HttpStatusCode.NotFound)
     }
 
@@ -78,7 +90,7 @@
     private suspend fun order(exchange: Exchange) {
         val order = exchange.receive<EngineOrder>()
         val verdict = group.obey(order)
-        orders += OrderRecord(order, verdict, System.currentTimeMillis())
+        OrderRecord(order, verdict, System.currentTimeMillis()).also(orders::add).also(journal::append)
         val stale = verdict == OrderVerdict.STALE
         exchange.respond(if (stale) HttpStatusCode.Conflict else HttpStatusCode.Accepted)
     }
--- a/standins/src/main/kotlin/boragering/standins/Generation.kt
+++ b/standins/src/main/kotlin/boragering/standins/Generation.kt
@@ -52,7 +52,7 @@
     suspend fun prefill() {
         val cached = cache.use(request.messages.toString()) / CHARACTERS_PER_TOKEN
         val now = System.currentTimeMillis()
-        run.note { copy(started = now, promptTokens = this@Generation.promptTokens, cachedTokens = cached) }
+        run.publish { copy(started = now, promptTokens = this@Generation.promptTokens, cachedTokens = cached) }
         val promptTime = duration(options.promptTokenTime) * maxOf(promptTokens - cached, 0)
         delay((duration(options.firstTokenTime) + promptTime) * control.faults.slowFactor)
     }
--- a/standins/src/main/kotlin/boragering/standins/KeyValueState.kt
+++ b/standins/src/main/kotlin/boragering/standins/KeyValueState.kt
@@ -12,7 +12,7 @@
 
 /** One write for a test's history check; [value] is `null` for a deletion. */
 @Serializable
-internal data class RecordedWrite(val key: String, val revision: Long, val value: String?, val wallMilliseconds: Long)
+data class RecordedWrite(val key: String, val revision: Long, val value: String?, val wallMilliseconds: Long)
 
 /** The content of the key-value service: keys, history and leases. All functions are atomic. */
 internal class KeyValueState(
--- a/standins/src/main/kotlin/boragering/standins/Kind.kt
+++ b/standins/src/main/kotlin/boragering/standins/Kind.kt
@@ -35,7 +35,7 @@
 
     SERVICE("service") {
         override fun start(arguments: List<String>) = runStandIn(arguments, ServiceOptions()) { options ->
-            val book = OrderBook()
+            val book = OrderBook(Journal(options.journal))
             repeat(options.count) {
                 val service = ServiceStandIn(options.instanceId(it), incarnation(), options, book)
                 listen(options.instancePort(it), service::serve)
--- a/standins/src/main/kotlin/boragering/standins/LiveListStandIn.kt
+++ b/standins/src/main/kotlin/boragering/standins/LiveListStandIn.kt
@@ -9,7 +9,7 @@
 
 /** One instance of the live list; [state] is `live` or `leaving`. */
 @Serializable
-internal data class LiveInstance(
+data class LiveInstance(
     val id: String,
     val address: String,
     val pool: String,
@@ -18,12 +18,13 @@
     val state: String,
 )
 
+/** Body of `GET /instances`. */
 @Serializable
-internal data class LiveInstances(val instances: List<LiveInstance>)
+data class LiveInstances(val instances: List<LiveInstance>)
 
 /** Faults of the live list; in an [outage] every read ends with a closed connection. */
 @Serializable
-internal data class LiveListFaults(val outage: Boolean = false)
+data class LiveListFaults(val outage: Boolean = false)
 
 /**
  * Stand-in of the platform's live list. Readers see what was true [lag] ago; the first list that is set is visible at
--- a/standins/src/main/kotlin/boragering/standins/MemberMonitor.kt
+++ b/standins/src/main/kotlin/boragering/standins/MemberMonitor.kt
@@ -35,8 +35,8 @@
     /** Whether all members answered the latest pings with the leader's group and fencing number. */
     val present: StateFlow<Boolean> = state.asStateFlow()
 
-    /** Called when members that were present are missing. */
-    var lost: () -> Unit = {}
+    /** Called with the order that names the members when they are all present, and when one of them is missing. */
+    var changed: (EngineOrder, Boolean) -> Unit = { _, _ -> }
 
     /** Starts to ping the members of [order]; replaces what was watched before. */
     @Synchronized
@@ -45,7 +45,7 @@
         job = scope.launch {
             while (true) {
                 val present = order.members.filter { it.instance != id }.all(order)
-                if (update(coroutineContext.job, present)) lost()
+                if (update(coroutineContext.job, present)) changed(order, present)
                 delay(interval)
             }
         }
@@ -59,10 +59,10 @@
         state.value = false
     }
 
-    /** Sets the result of a round unless its job was replaced meanwhile; true when members have become missing. */
+    /** Sets the result of a round unless its job was replaced meanwhile; true when it has changed. */
     @Synchronized
     private fun update(round: Job, present: Boolean): Boolean =
-        round === job && state.compareAndSet(!present, present) && !present
+        round === job && state.compareAndSet(!present, present)
 
     private suspend fun List<EngineMember>.all(order: EngineOrder): Boolean = coroutineScope {
         map { async { answers(it, order) } }.awaitAll().all { it }
--- a/standins/src/main/kotlin/boragering/standins/PortOptions.kt
+++ b/standins/src/main/kotlin/boragering/standins/PortOptions.kt
@@ -9,6 +9,9 @@
 internal open class PortOptions {
     @field:Option(name = "--port", usage = "port to bind, 0 to choose a free one")
     var port: Int = 0
+
+    @field:Option(name = "--end-with-input", usage = "end when standard input ends, as it does when the parent dies")
+    var endWithInput: Boolean = false
 }
 
 /** Sets [options] from [arguments]; explains errors on standard error and returns false. */
--- a/standins/src/main/kotlin/boragering/standins/ProxyLink.kt
+++ b/standins/src/main/kotlin/boragering/standins/ProxyLink.kt
@@ -21,11 +21,11 @@
 
 /** What happens to the bytes of one direction: held while [stalled], otherwise passed on after a delay, in order. */
 @Serializable
-internal data class DirectionFaults(val stalled: Boolean = false, val delayMilliseconds: Long = 0)
+data class DirectionFaults(val stalled: Boolean = false, val delayMilliseconds: Long = 0)
 
 /** Faults of a proxied link. While [cut], its connections are closed and new ones are refused. */
 @Serializable
-internal data class LinkFaults(
+data class LinkFaults(
     val cut: Boolean = false,
     val toTarget: DirectionFaults = DirectionFaults(),
     val toClient: DirectionFaults = DirectionFaults(),
--- a/standins/src/main/kotlin/boragering/standins/ProxyStandIn.kt
+++ b/standins/src/main/kotlin/boragering/standins/ProxyStandIn.kt
@@ -18,11 +18,11 @@
 
 /** One link of the proxy. */
 @Serializable
-internal data class LinkState(val index: Int, val port: Int, val target: String, val faults: LinkFaults)
+data class LinkState(val index: Int, val port: Int, val target: String, val faults: LinkFaults)
 
 /** Body of `POST /control/links`. */
 @Serializable
-internal data class LinkRequest(val target: String, val port: Int = 0)
+data class LinkRequest(val target: String, val port: Int = 0)
 
 /** Control interface of the proxy: `/control/links` lists and adds links, `/control/links/<index>` sets faults. */
 internal class ProxyStandIn(private val scope: CoroutineScope, private val selector: SelectorManager) {
--- a/standins/src/main/kotlin/boragering/standins/ServiceStandIn.kt
+++ b/standins/src/main/kotlin/boragering/standins/ServiceStandIn.kt
@@ -22,7 +22,7 @@
  * everything but control calls ends with a closed connection.
  */
 @Serializable
-internal data class ServiceFaults(
+data class ServiceFaults(
     val slowFactor: Double = 1.0,
     val leaving: Boolean = false,
     val refuse: Int = 0,
@@ -32,7 +32,7 @@
 
 /** Body of `GET /status` of a plain service. */
 @Serializable
-internal data class ServiceStatus(
+data class ServiceStatus(
     val instance: String,
     val incarnation: String,
     val running: Int,
@@ -40,9 +40,12 @@
     val leaving: Boolean,
 )
 
-/** One request that a plain service ran; [number] is that of the booked order, [ended] absent while it runs. */
+/**
+ * One request that a plain service ran; [number] is that of the booked order, [ended] absent while it runs. [index]
+ * counts the runs of the instance.
+ */
 @Serializable
-internal data class ServiceRun(
+data class ServiceRun(
     val request: String?,
     val idempotencyKey: String?,
     val method: String,
@@ -51,25 +54,27 @@
     val ended: Long? = null,
     val number: String? = null,
     val responseLost: Boolean = false,
+    val index: Int = 0,
 )
 
 /** Body of `GET /control/record` of a plain service. */
 @Serializable
-internal data class ServiceRecord(
+data class ServiceRecord(
     val instance: String,
     val incarnation: String,
-    val requests: List<ServiceRun>,
-    val refusals: List<RefusalRecord>,
+    val requests: List<ServiceRun> = emptyList(),
+    val refusals: List<RefusalRecord> = emptyList(),
 )
 
+/** An order as the service answers a booking. */
 @Serializable
-internal data class BookedOrder(val number: String, val instance: String, val body: String)
+data class BookedOrder(val number: String, val instance: String, val body: String)
 
 @Serializable
 internal data class Echo(val instance: String, val method: String, val path: String, val body: String)
 
-/** The orders that the instances of one process share. */
-internal class OrderBook {
+/** The orders that the instances of one process share, and the [journal] of their records. */
+internal class OrderBook(val journal: Journal = Journal("")) {
     private val numbers = AtomicInteger()
     private val orders = ConcurrentHashMap<String, BookedOrder>()
 
@@ -96,6 +101,11 @@
     private val slots = PrioritySlots(options.slots)
     private val runs = java.util.Collections.synchronizedList(mutableListOf<ServiceRun>())
     private val refusals = java.util.Collections.synchronizedList(mutableListOf<RefusalRecord>())
+    private val journal = book.journal
+
+    init {
+        journal.append(ServiceRecord(id, incarnation))
+    }
 
     /** Serves one request. */
     suspend fun serve(exchange: Exchange) {
@@ -124,7 +134,9 @@
     private suspend fun refuse(exchange: Exchange) {
         val identity = exchange.request.header("X-Request-Id").orEmpty()
         val status = HttpStatusCode.ServiceUnavailable
-        refusals += RefusalRecord(identity, status.value, true, System.currentTimeMillis())
+        val refusal = RefusalRecord(identity, status.value, true, System.currentTimeMillis())
+        refusals += refusal
+        journal.append(ServiceRecord(id, incarnation, refusals = listOf(refusal)))
         exchange.respond(status, standInJson.encodeToString(ErrorBody("not run")), headers = notRun)
     }
 
@@ -137,15 +149,25 @@
             request.path,
             System.currentTimeMillis(),
         )
-        val index = synchronized(runs) { runs.apply { add(run) }.lastIndex }
+        val index = add(run)
         val booked = if (request.method == "POST" && request.path == ORDERS) book.book(id, request.text) else null
         delay(serviceTime * faults.value.slowFactor)
         val lost = take({ runThenClose }) { copy(runThenClose = runThenClose - 1) }
-        runs[index] = run.copy(ended = System.currentTimeMillis(), number = booked?.number, responseLost = lost)
+        set(index, run.copy(ended = System.currentTimeMillis(), number = booked?.number, responseLost = lost))
         if (lost) exchange.abort("fault: response lost")
         respond(exchange, booked)
     }
 
+    private fun add(run: ServiceRun): Int = synchronized(runs) {
+        runs += run
+        runs.lastIndex.also { set(it, run) }
+    }
+
+    private fun set(index: Int, run: ServiceRun) = synchronized(runs) {
+        runs[index] = run.copy(index = index)
+        journal.append(ServiceRecord(id, incarnation, listOf(runs[index])))
+    }
+
     private suspend fun respond(exchange: Exchange, booked: BookedOrder?) {
         val request = exchange.request
         when {
--- a/standins/src/main/kotlin/boragering/standins/StandInScope.kt
+++ b/standins/src/main/kotlin/boragering/standins/StandInScope.kt
@@ -6,6 +6,9 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.runBlocking
+import java.io.OutputStream
+import kotlin.concurrent.thread
+import kotlin.system.exitProcess
 
 /** Where a stand-in runs: [scope] lives as long as the process, [selector] serves all its sockets. */
 internal class StandInScope(val scope: CoroutineScope, val selector: SelectorManager) {
@@ -18,13 +21,14 @@
 }
 
 /** Runs a stand-in until the process ends; false when [arguments] do not fit [options]. */
-internal fun <T : Any> runStandIn(
+internal fun <T : PortOptions> runStandIn(
     arguments: List<String>,
     options: T,
     start: suspend StandInScope.(T) -> Unit,
 ): Boolean {
     val valid = parse(arguments, options)
     if (valid) {
+        if (options.endWithInput) endWithInput()
         runBlocking(Dispatchers.Default) {
             val scope = CoroutineScope(Dispatchers.Default + SupervisorJob())
             StandInScope(scope, SelectorManager(Dispatchers.IO)).start(options)
@@ -33,3 +37,8 @@
     }
     return valid
 }
+
+private fun endWithInput() = thread(isDaemon = true, name = "input") {
+    System.`in`.copyTo(OutputStream.nullOutputStream())
+    exitProcess(0)
+}
--- a/standins/src/main/kotlin/boragering/standins/StoreControl.kt
+++ b/standins/src/main/kotlin/boragering/standins/StoreControl.kt
@@ -17,7 +17,7 @@
  * start with it count.
  */
 @Serializable
-internal data class StoreFaults(
+data class StoreFaults(
     val outage: Boolean = false,
     val slowMilliseconds: Long = 0,
     val loseResponses: Int = 0,
@@ -26,7 +26,7 @@
 
 /** What the key-value service has counted since it started; [calls] by path below `/v3/`, refused ones included. */
 @Serializable
-internal data class StoreCounters(
+data class StoreCounters(
     val calls: Map<String, Int>,
     val waitingWatches: Int,
     val refused: Int,
--- a/standins/src/main/kotlin/boragering/standins/TokenHash.kt
+++ b/standins/src/main/kotlin/boragering/standins/TokenHash.kt
@@ -5,6 +5,6 @@
 import kotlin.io.path.readText
 
 /** The hash of the token in [file], as catalogues state it; a line end after the token does not count. */
-internal fun tokenHash(file: Path): String = MessageDigest.getInstance("SHA-256")
+fun tokenHash(file: Path): String = MessageDigest.getInstance("SHA-256")
     .digest(file.readText().trimEnd('\r', '\n').encodeToByteArray())
     .joinToString("", "sha256:") { "%02x".format(it) }
