Test requests with a slow store and with targets that hang

A store call that takes 3 s, longer than callers wait for a claim, and a target that runs a request and never answers are added to the faults of the at-most-once scenario. Both hold without a change to the code.

--- a/core/src/test/kotlin/boragering/core/FakeStore.kt
+++ b/core/src/test/kotlin/boragering/core/FakeStore.kt
@@ -10,9 +10,10 @@
 import kotlinx.coroutines.launch
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** A fault of one call to the store. */
-enum class StoreFault { DOWN, LOST_APPLIED, LOST_NOT_APPLIED, DELAYED }
+enum class StoreFault { DOWN, SLOW, LOST_APPLIED, LOST_NOT_APPLIED, DELAYED }
 
 /** A store with compare-and-swap whose calls can fail. [faults] holds faults by the number of the call, from 1. */
 class FakeStore(private val scope: CoroutineScope) : Store {
@@ -31,7 +32,8 @@
 
     override suspend fun get(key: String): Either<StoreFailure, StoredValue?> {
         val fault = next()
-        return if (fault == null) values[key].right() else StoreFailure.NotApplied("fault $fault").left()
+        val answered = fault == null || fault == StoreFault.SLOW
+        return if (answered) values[key].right() else StoreFailure.NotApplied("fault $fault").left()
     }
 
     override suspend fun getIfNewer(key: String, revision: StoreRevision): Either<StoreFailure, StoredValue?> =
@@ -43,7 +45,7 @@
         value: String,
         lease: LeaseId?,
     ): Either<StoreFailure, SwapOutcome> = when (next()) {
-        null -> swap(key, expected, value).right()
+        null, StoreFault.SLOW -> swap(key, expected, value).right()
         StoreFault.DOWN -> StoreFailure.NotApplied("down").left()
         StoreFault.LOST_NOT_APPLIED -> StoreFailure.Uncertain("lost").left()
         StoreFault.LOST_APPLIED -> {
@@ -61,8 +63,9 @@
 
     private suspend fun next(): StoreFault? {
         val number = ++calls
-        delay(latency)
-        return if (down) StoreFault.DOWN else faults[number]
+        val fault = if (down) StoreFault.DOWN else faults[number]
+        delay(if (fault == StoreFault.SLOW) SLOW_LATENCY else latency)
+        return fault
     }
 
     private fun swap(key: String, expected: StoreRevision, value: String): SwapOutcome {
@@ -92,4 +95,9 @@
     ): Either<StoreFailure, PersistentList<StoredValue>> = persistentListOf<StoredValue>().right()
 
     private fun unused(): Nothing = error("claims do not use this call")
+
+    private companion object {
+        /** Longer than callers wait for a claim. */
+        val SLOW_LATENCY = 3.seconds
+    }
 }
--- a/core/src/test/kotlin/boragering/core/FakeTarget.kt
+++ b/core/src/test/kotlin/boragering/core/FakeTarget.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlin.time.Duration
@@ -20,6 +21,7 @@
     BROKEN_AFTER_RUN,
     BROKEN_MIDWAY,
     RUNS_LATE,
+    HANGS,
     FOREIGN,
     LEAKED,
 }
@@ -80,6 +82,10 @@
             }
             TargetFailure.Broken("connection reset").left()
         }
+        TargetFault.HANGS -> {
+            runs.add(call)
+            awaitCancellation()
+        }
         else -> {
             runs.add(call)
             val (time, events) = work(call)
