Keep claims through jumps of the wall clock

A daemon whose wall clock jumped ahead by more than the retention removed all claims of each shard that it wrote, after which their keys could run again; one whose clock was behind wrote claims that others removed at once. Claims are now written with the later and removed by the earlier one of the wall clock and of what it should state by the monotonic clock since the daemon's start. A clock that is wrong from the start to the end of a daemon is not covered.

Also: a target call that ends as timed out before the request's deadline is a failure of the target, not a passed deadline; requests refused before admission are counted.

--- a/core/src/main/kotlin/boragering/core/ClaimLedger.kt
+++ b/core/src/main/kotlin/boragering/core/ClaimLedger.kt
@@ -13,12 +13,12 @@
 /**
  * The record of non-repeatable requests in the store, which lets each of them run at most once.
  *
- * [scope] runs the writes, so that a caller that goes away does not interrupt one; it must live until the daemon's
- * last request has ended. All daemons must use the same number of [shards].
+ * [scope] runs the writes, so that a caller that goes away does not interrupt one; it must live until [drain] has
+ * returned after the daemon's last request. All daemons must use the same number of [shards].
  */
 class ClaimLedger(ports: RequestPorts, scope: CoroutineScope, private val shards: Int = DEFAULT_SHARDS) {
     private val self = ports.peers.self.daemon
-    private val clock = ports.clock
+    private val clock = ClaimClock(ports.clock)
     private val random = SharedRandom(ports.random)
     private val tokens = AtomicLong()
     private val context = ClaimContext(ports.store, clock, random, scope, ports.metrics)
@@ -68,7 +68,7 @@
     }
 
     private fun claim(entry: Entry, request: CallerRequest, key: String): Claim {
-        val now = clock.wallMilliseconds()
+        val now = clock.latest
         return Claim(
             identity = ClaimDigests.identity(request, key),
             fingerprint = ClaimDigests.fingerprint(request),
@@ -84,11 +84,11 @@
      * would outlive its claim.
      */
     private fun keyProblem(key: String, retention: Duration): Problem? {
-        val age = KeyTime.milliseconds(key)?.let { clock.wallMilliseconds() - it }
+        val createdAt = KeyTime.milliseconds(key)
         return when {
-            age == null -> null
-            age > (retention - CLOCK_MARGIN).inWholeMilliseconds -> Problems.keyExpired()
-            age < -CLOCK_MARGIN.inWholeMilliseconds ->
+            createdAt == null -> null
+            clock.latest - createdAt > (retention - CLOCK_MARGIN).inWholeMilliseconds -> Problems.keyExpired()
+            createdAt - clock.earliest > CLOCK_MARGIN.inWholeMilliseconds ->
                 Problems.invalid("the Idempotency-Key's creation time is in the future")
             else -> null
         }
--- a/core/src/main/kotlin/boragering/core/ClaimShard.kt
+++ b/core/src/main/kotlin/boragering/core/ClaimShard.kt
@@ -15,7 +15,7 @@
 /** What all shards of the claims use. */
 internal data class ClaimContext(
     val store: Store,
-    val clock: Clock,
+    val clock: ClaimClock,
     val random: Random,
     val scope: CoroutineScope,
     val metrics: RequestMetrics,
@@ -117,7 +117,7 @@
     private suspend fun tryOnce(attempt: ClaimWrite) {
         val cached = known
         val base = cached ?: attempt.read(context.store.get(key)) ?: return
-        val editor = ClaimEditor(base.claims, context.clock.wallMilliseconds())
+        val editor = ClaimEditor(base.claims, context.clock.earliest)
         attempt.unsettled.forEach(editor::apply)
         val results = attempt.batch.map { editor.apply(it.operation) }
         when {
--- a/core/src/main/kotlin/boragering/core/EntryAdmission.kt
+++ b/core/src/main/kotlin/boragering/core/EntryAdmission.kt
@@ -67,11 +67,11 @@
             if (result == null) leave(waiter)
         }
         val answer = checkNotNull(result)
-        answer.onRight { metrics(waiter, since) }
+        answer.onRight { reportAdmitted(waiter, since) }
         return answer
     }
 
-    private fun metrics(waiter: Waiter, since: Duration) =
+    private fun reportAdmitted(waiter: Waiter, since: Duration) =
         context.ports.metrics.admitted(waiter.plan.entry.name, context.ports.clock.monotonic() - since)
 
     /** The time to wait is over: takes the slot that was granted at the last moment, or gives up. */
--- a/core/src/main/kotlin/boragering/core/RequestExecutor.kt
+++ b/core/src/main/kotlin/boragering/core/RequestExecutor.kt
@@ -1,6 +1,7 @@
 package boragering.core
 
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
 
 /**
  * Serves callers' requests: admission, selection of a target, claims of non-repeatable requests, sending, retries. When
@@ -41,6 +42,7 @@
         ports.timeline.record(
             TimelineEntry("request-ended", problem.detail, request = request.id, entry = request.entry),
         )
+        ports.metrics.ended(request.entry, problem, Duration.ZERO)
         return RequestResult.Failed(Problems.forKey(problem, request), started = false)
     }
 }
--- a/core/src/main/kotlin/boragering/core/TargetAttempt.kt
+++ b/core/src/main/kotlin/boragering/core/TargetAttempt.kt
@@ -95,7 +95,7 @@
         return when {
             answer is Either.Right -> answered(relay, sentAt)
             refused && !relay.answered -> notTaken(candidate, checkNotNull(failure)).also { claim.mayHaveRun = before }
-            answer == null || failure is TargetFailure.TimedOut -> timedOut(relay)
+            answer == null || remaining <= Duration.ZERO -> timedOut(relay)
             else -> broken(relay, failure?.reason.orEmpty())
         }
     }
--- a/core/src/test/kotlin/boragering/core/ClaimLedgerTest.kt
+++ b/core/src/test/kotlin/boragering/core/ClaimLedgerTest.kt
@@ -100,6 +100,18 @@
             }
         }
 
+        for (jump in listOf(2.days, (-2).days)) {
+            it("outlasts a jump of the wall clock by $jump") {
+                runTest {
+                    val world = RequestWorld(this, RequestWorld.service())
+                    if (jump.isNegative()) world.wallJump = jump
+                    world.open("key").shouldBeInstanceOf<Opened.Held>()
+                    world.wallJump = if (jump.isNegative()) 0.days else jump
+                    world.open("key").problem().kind shouldBe ProblemKind.DUPLICATE
+                }
+            }
+        }
+
         it("with another fingerprint is refused") {
             runTest {
                 val world = RequestWorld(this, RequestWorld.service())
--- a/core/src/test/kotlin/boragering/core/FakeStore.kt
+++ b/core/src/test/kotlin/boragering/core/FakeStore.kt
@@ -3,8 +3,6 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import kotlinx.collections.immutable.PersistentList
-import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -77,22 +75,17 @@
         }
     }
 
-    override suspend fun range(prefix: String): Either<StoreFailure, PersistentList<StoredValue>> = unused()
+    override suspend fun range(prefix: String) = unused()
 
-    override suspend fun compareAndDelete(key: String, expected: StoreRevision): Either<StoreFailure, SwapOutcome> =
-        unused()
+    override suspend fun compareAndDelete(key: String, expected: StoreRevision) = unused()
 
-    override suspend fun grantLease(timeToLive: Duration): Either<StoreFailure, LeaseId> = unused()
+    override suspend fun grantLease(timeToLive: Duration) = unused()
 
-    override suspend fun renewLease(lease: LeaseId): Either<StoreFailure, Duration> = unused()
+    override suspend fun renewLease(lease: LeaseId) = unused()
 
-    override suspend fun revokeLease(lease: LeaseId): Either<StoreFailure, Unit> = unused()
+    override suspend fun revokeLease(lease: LeaseId) = unused()
 
-    override suspend fun awaitChange(
-        prefix: String,
-        after: StoreRevision,
-        timeout: Duration,
-    ): Either<StoreFailure, PersistentList<StoredValue>> = persistentListOf<StoredValue>().right()
+    override suspend fun awaitChange(prefix: String, after: StoreRevision, timeout: Duration) = unused()
 
     private fun unused(): Nothing = error("claims do not use this call")
 
--- a/core/src/test/kotlin/boragering/core/RequestWorld.kt
+++ b/core/src/test/kotlin/boragering/core/RequestWorld.kt
@@ -30,8 +30,10 @@
     val metrics = CountingMetrics()
     val timeline = ArrayList<TimelineEntry>()
     var catalogue: Catalogue? = catalogue(entry)
+    var wallJump = Duration.ZERO
     val clock = object : Clock {
-        override fun wallMilliseconds(): Long = WALL_START + scope.testScheduler.currentTime
+        override fun wallMilliseconds(): Long =
+            WALL_START + scope.testScheduler.currentTime + wallJump.inWholeMilliseconds
 
         override fun monotonic(): Duration = scope.testScheduler.currentTime.milliseconds
     }
