Check that no claim stays pending after the at-most-once scenario

With both daemons alive and the store up again, a pending claim means that its caller's key is refused for the whole retention.

--- a/core/src/test/kotlin/boragering/core/AtMostOnceTest.kt
+++ b/core/src/test/kotlin/boragering/core/AtMostOnceTest.kt
@@ -20,7 +20,11 @@
 )
 
 /** What the callers were told, with the target's own record of what it ran. */
-private class ScenarioRecord(val runs: List<TargetCall>, val told: List<Pair<RequestId, RequestResult>>) {
+private class ScenarioRecord(
+    val runs: List<TargetCall>,
+    val told: List<Pair<RequestId, RequestResult>>,
+    val claims: List<Claim>,
+) {
     private val keys = runs.map { call -> call.headers.first { it.name == "Idempotency-Key" }.value }
 
     /** Keys that the target ran more than once. */
@@ -54,7 +58,8 @@
         }
         delay(AFTERWARDS)
     }
-    return ScenarioRecord(world.target.runs, told)
+    val claims = world.store.values.values.flatMap { ClaimCodec.decode(it)?.claims?.values.orEmpty() }
+    return ScenarioRecord(world.target.runs, told, claims)
 }
 
 private const val REPETITIONS = 6
@@ -68,6 +73,7 @@
 private fun check(plan: FaultPlan, record: ScenarioRecord) = withClue("$plan, told ${record.told}") {
     record.repeatedKeys.shouldBeEmpty()
     record.falselyNotRun.shouldBeEmpty()
+    record.claims.filter { it.state == ClaimState.Pending }.shouldBeEmpty()
 }
 
 class AtMostOnceTest : DescribeSpec({
--- a/core/src/test/kotlin/boragering/core/RequestWorld.kt
+++ b/core/src/test/kotlin/boragering/core/RequestWorld.kt
@@ -109,15 +109,11 @@
             persistentListOf(Route("POST", "/orders", false), Route("GET", "/orders/{id}", true)),
         )
 
-        fun model(
-            limits: RequestLimits = limits(),
-            urgency: Urgency = Urgency.URGENT,
-            length: RequestLength = RequestLength.MIXED,
-        ) = ModelEntry(
+        fun model(limits: RequestLimits = limits(), length: RequestLength = RequestLength.MIXED) = ModelEntry(
             name = EntryName("kotoba-pool"),
             owner = "owner",
             pool = "pool",
-            requestClass = RequestClass(urgency, length, repeatable = true),
+            requestClass = RequestClass(Urgency.URGENT, length, repeatable = true),
             limits = limits,
             claimRetention = 24.hours,
             model = "kotoba-8b",
@@ -177,8 +173,6 @@
     var foreignParts = 0
     var retries = 0
     val ejected = ArrayList<GroupId>()
-    val batches = ArrayList<Int>()
-    val firstParts = ArrayList<Duration>()
 
     override fun retried(entry: EntryName) {
         retries++
@@ -191,12 +185,4 @@
     override fun ejected(entry: EntryName, group: GroupId) {
         ejected.add(group)
     }
-
-    override fun claimsWritten(claims: Int) {
-        batches.add(claims)
-    }
-
-    override fun firstPart(entry: EntryName, after: Duration) {
-        firstParts.add(after)
-    }
 }
