Assign an instance only when its domain is certain for its incarnation

The live list still gave the old domain of an instance that had restarted in another one and already reported its new incarnation; and the list gave the new domain while the newest report was still that of the former process. An incarnation is now assigned only when the list was read 3 s after it was first seen, and when its report is newer than the domain that the list gives. A group waits for a restarted member for that time instead of being dissolved.

Absence from the list is now kept by domain, since a daemon that plans two domains reset it with each of them.

--- a/core/src/main/kotlin/boragering/core/DomainPlanner.kt
+++ b/core/src/main/kotlin/boragering/core/DomainPlanner.kt
@@ -101,7 +101,7 @@
         val listed = view.list.of(domain)
         val groupOf = division.groups.flatMap { group -> group.members.map { it.instance to group } }.toMap()
         val observations = (listed.keys + groupOf.keys).associateWith {
-            context.book.observe(it, groupOf[it], it in listed, view.list.readAt)
+            context.book.observe(it, groupOf[it], domain, view.list)
         }
         draining.update(division.groups.filter { it.phase is GroupPhase.Draining }.map { it.id }, now)
         surplus.update(view.catalogue.entries.keys.filter { view.distribution.surplus(it, domain) > 0 }, now)
--- a/core/src/main/kotlin/boragering/core/GroupRepair.kt
+++ b/core/src/main/kotlin/boragering/core/GroupRepair.kt
@@ -13,6 +13,25 @@
         .forEach { (pool, broken) -> repairPool(pool, broken) }
 }
 
+/**
+ * Gives a group a new fencing number when a member that enforces fencing has seen a higher one, for example by an order
+ * for another domain, since it would refuse every order with the present one.
+ */
+internal fun PlanningDraft.raiseFences() {
+    groups.filter { it.phase == GroupPhase.Active && enforcesFencing(it) }.forEach { group ->
+        val refusing = group.members.firstOrNull { member ->
+            val report = input.recent(member.instance)?.takeIf { it.incarnation == member.incarnation }
+            report?.fence?.let { it > group.fence && it.value < version } ?: false
+        }
+        if (refusing != null) {
+            put(group.copy(fence = Fence(version)), "new fencing number: ${refusing.instance} has seen a higher one")
+        }
+    }
+}
+
+private fun PlanningDraft.enforcesFencing(group: Group): Boolean =
+    (input.catalogue.entries[group.entry] as? ModelEntry)?.enforcesFencing ?: false
+
 /** A group with the states of its lost members. [pool] is `null` when the entry is gone. */
 private class BrokenGroup(val group: Group, val entry: Entry?, val lost: Map<Member, MemberState.Lost>) {
     val pool: String? get() = entry?.pool
@@ -31,9 +50,11 @@
     val remaining = ArrayDeque(broken.sortedWith(compareBy({ it.lost.size }, { it.group.id.value })))
     while (remaining.isNotEmpty()) {
         val easiest = remaining.first()
-        val enough = pool != null && spares.count(pool) + returned(easiest) >= easiest.lost.size
+        val lacking = easiest.lost.size - (pool?.let(spares::count) ?: 0)
         when {
-            !enough -> dissolve(remaining.removeLast())
+            lacking > returned(easiest, settled = false) -> dissolve(remaining.removeLast())
+            // The group waits until its restarted members can be assigned again.
+            lacking > returned(easiest, settled = true) -> remaining.removeFirst()
             // The group waits for its turn to load; a later step repairs it.
             !loadsAllowed(easiest.group) -> remaining.removeFirst()
             else -> repair(remaining.removeFirst())
@@ -41,9 +62,9 @@
     }
 }
 
-/** Lost members that came back and can be assigned again, such as restarted ones. */
-private fun PlanningDraft.returned(broken: BrokenGroup): Int =
-    broken.lost.count { (member, state) -> !state.loadFailed && spares.canReturn(member.instance) }
+/** Lost members that came back and can be assigned again, such as restarted ones, at once if they are [settled]. */
+private fun PlanningDraft.returned(broken: BrokenGroup, settled: Boolean): Int =
+    broken.lost.count { (member, state) -> !state.loadFailed && spares.canReturn(member.instance, settled) }
 
 private fun PlanningDraft.loadsAllowed(group: Group): Boolean =
     group.model == null || loadsInProgress() < input.settings.loadsAtOnce
--- a/core/src/main/kotlin/boragering/core/Planner.kt
+++ b/core/src/main/kotlin/boragering/core/Planner.kt
@@ -20,6 +20,7 @@
     draft.removeDrainedGroups()
     draft.drainUnwantedGroups()
     draft.repairGroups()
+    draft.raiseFences()
     draft.formModelGroups()
     draft.formServiceGroups()
     input.notes.forEach { draft.note(null, it.text, it.entry) }
--- a/core/src/main/kotlin/boragering/core/PlanningInput.kt
+++ b/core/src/main/kotlin/boragering/core/PlanningInput.kt
@@ -11,7 +11,9 @@
  * Limits of planning. [lossLimit] and [absenceLimit] are how long a member may be silent, or missing from the live
  * list, before it is lost. A group drains for at least [drainTime], and until its leader was idle for [idleTime]. A
  * member that is not ready within [loadLimit] is treated as lost. [surplusDelay] is how long a surplus must last before
- * a group is drained for it, so that divisions that are still on their way between daemons do not count.
+ * a group is drained for it, so that divisions that are still on their way between daemons do not count. [settleTime]
+ * is how long an incarnation must be known before it is assigned: an instance that restarts in another domain reports
+ * its new incarnation while the lagging live list still gives its old domain, and two planners would assign it.
  */
 data class PlanningSettings(
     val loadsAtOnce: Int = DEFAULT_LOADS,
@@ -22,6 +24,7 @@
     val idleTime: Duration = 3.seconds,
     val loadLimit: Duration = 10.minutes,
     val surplusDelay: Duration = 3.seconds,
+    val settleTime: Duration = 3.seconds,
 ) {
     private companion object {
         const val DEFAULT_LOADS = 4
@@ -32,7 +35,8 @@
  * What the planner has seen of one instance. [age] is the time since the newest [report] was asked for; [silentFor]
  * does not count time in which this daemon was not polling. [idleFor] is how long all reports have shown no work,
  * [unreadyFor] how long the instance has not been ready for its present group, [unlistedFor] how long the live list has
- * been without it.
+ * been without it. [settledFor] is how long before the newest read of the live list its incarnation was first seen;
+ * zero when the newest report is older than the domain that the list gives.
  */
 data class Observation(
     val report: InstanceReport?,
@@ -41,6 +45,7 @@
     val idleFor: Duration = Duration.ZERO,
     val unreadyFor: Duration = Duration.ZERO,
     val unlistedFor: Duration = Duration.ZERO,
+    val settledFor: Duration = Duration.ZERO,
 )
 
 /**
--- a/core/src/main/kotlin/boragering/core/ReportBook.kt
+++ b/core/src/main/kotlin/boragering/core/ReportBook.kt
@@ -26,14 +26,14 @@
     fun report(instance: InstanceId): TimedReport? = track(instance) { it.timed }
 
     /**
-     * What is known of [instance] now, as a member of [group] if it is one. [listed] says whether the live list, read
-     * at [listReadAt], holds it.
+     * What is known of [instance] now, as an instance of [domain], and as a member of [group] if it is one. [list] is
+     * the newest live list.
      */
-    fun observe(instance: InstanceId, group: Group?, listed: Boolean, listReadAt: Duration): Observation =
+    fun observe(instance: InstanceId, group: Group?, domain: FabricDomain, list: InstanceList): Observation =
         track(instance) {
-            it.noteListed(listed, listReadAt)
+            it.noteListed(list.instances[instance]?.fabricDomain, list.readAt)
             it.noteGroup(group, clock.monotonic())
-            it.observation(clock.monotonic(), watchingSince, listReadAt)
+            it.observation(clock.monotonic(), watchingSince, domain, list.readAt)
         }
 
     /** Forgets the instances that were neither heard of nor asked for since a minute. */
@@ -63,21 +63,23 @@
     var timed: TimedReport? = null
     var usedAt = since
     private var idleSince: Duration? = null
-    private var unlistedSince: Duration? = null
+    private var incarnationSince: Duration? = null
+    private var listedIn: Pair<FabricDomain?, Duration>? = null
     private var unready: Pair<GroupKey, Duration>? = null
 
     fun record(newer: TimedReport) {
         val known = timed
         if (known != null && newer.askedAt < known.askedAt) return
         val idle = newer.report.running + newer.report.queued == 0
-        val continuous = known != null && newer.askedAt - known.askedAt <= IDLE_GAP &&
-            newer.report.incarnation == known.report.incarnation
+        val sameIncarnation = known?.report?.incarnation == newer.report.incarnation
+        val continuous = known != null && sameIncarnation && newer.askedAt - known.askedAt <= IDLE_GAP
+        if (!sameIncarnation) incarnationSince = newer.askedAt
         idleSince = if (idle) idleSince?.takeIf { continuous } ?: newer.askedAt else null
         timed = newer
     }
 
-    fun noteListed(listed: Boolean, readAt: Duration) {
-        unlistedSince = if (listed) null else unlistedSince ?: readAt
+    fun noteListed(domain: FabricDomain?, readAt: Duration) {
+        if (listedIn?.first != domain || listedIn == null) listedIn = domain to readAt
     }
 
     fun noteGroup(group: Group?, now: Duration) {
@@ -87,8 +89,9 @@
         unready = if (ready || key == null) null else unready?.takeIf { it.first == key } ?: (key to now)
     }
 
-    fun observation(now: Duration, watchingSince: Duration, listReadAt: Duration): Observation {
+    fun observation(now: Duration, watchingSince: Duration, domain: FabricDomain, readAt: Duration): Observation {
         val askedAt = timed?.askedAt
+        val listedSince = listedIn?.second ?: readAt
         val heardAt = maxOf(askedAt ?: since, watchingSince)
         return Observation(
             report = timed?.report,
@@ -96,7 +99,10 @@
             silentFor = now - heardAt,
             idleFor = idleSince?.let { start -> askedAt?.minus(start) } ?: Duration.ZERO,
             unreadyFor = unready?.let { now - maxOf(it.second, watchingSince) } ?: Duration.ZERO,
-            unlistedFor = unlistedSince?.let { listReadAt - it } ?: Duration.ZERO,
+            unlistedFor = if (listedIn?.first == domain) Duration.ZERO else readAt - listedSince,
+            // A report from before the list gave this domain may be that of a process in another domain.
+            settledFor = incarnationSince?.takeIf { askedAt != null && askedAt >= listedSince }?.let { readAt - it }
+                ?: Duration.ZERO,
         )
     }
 
--- a/core/src/main/kotlin/boragering/core/SpareInstances.kt
+++ b/core/src/main/kotlin/boragering/core/SpareInstances.kt
@@ -11,8 +11,8 @@
 }
 
 /**
- * The domain's instances that can be assigned: listed as live, recently reported, not leaving, in no group of this
- * domain, nor, with the same incarnation, of another, and not still finishing requests after a release.
+ * The domain's instances that can be assigned: listed as live, recently reported, known for some time, not leaving, in
+ * no group of this domain, nor, with the same incarnation, of another, and not finishing requests after a release.
  */
 internal class SpareInstances(private val input: PlanningInput) {
     private val taken = input.division.groups.flatMapTo(HashSet()) { group -> group.members.map { it.instance } }
@@ -31,8 +31,12 @@
         byPool[pool]?.values.orEmpty()
             .sortedWith(compareByDescending<SpareInstance> { it.hasWeights(entry) }.thenBy { it.listed.id.value })
 
-    /** Whether [instance], a member that is to be replaced, could be assigned again. */
-    fun canReturn(instance: InstanceId): Boolean = spare(instance) != null
+    /**
+     * Whether [instance], a member that is to be replaced, could be assigned again; if not [settled], as soon as it is
+     * known for long enough.
+     */
+    fun canReturn(instance: InstanceId, settled: Boolean): Boolean =
+        spare(instance) != null && (!settled || isSettled(instance))
 
     /** States that [instances] must not be assigned in this step. */
     fun exclude(instances: List<InstanceId>) {
@@ -52,7 +56,7 @@
     }
 
     private fun add(instance: InstanceId) {
-        val spare = spare(instance) ?: return
+        val spare = spare(instance)?.takeIf { isSettled(instance) } ?: return
         byPool.getOrPut(spare.listed.pool) { LinkedHashMap() }[instance] = spare
     }
 
@@ -63,6 +67,9 @@
         return if (known && available(listed, report)) SpareInstance(listed, report) else null
     }
 
+    private fun isSettled(instance: InstanceId): Boolean =
+        input.observations.getValue(instance).settledFor >= input.settings.settleTime
+
     private fun available(listed: ListedInstance, report: InstanceReport): Boolean {
         val finishing = report.phase == InstancePhase.DRAINING && report.running + report.queued > 0
         val ruledOut = listed.id in input.barred || listed.id in excluded
--- a/core/src/test/kotlin/boragering/core/DomainControllerTest.kt
+++ b/core/src/test/kotlin/boragering/core/DomainControllerTest.kt
@@ -107,6 +107,19 @@
             }
         }
 
+        it("are replaced one after the other without spares (guards against a version that never arrives)") {
+            runTest {
+                val world = groupWorld(domains = 1, perDomain = 4)
+                val daemon = world.daemon("d1")
+                world.await("two whole groups") { daemon.candidates().size == 2 }
+                world.catalogue = catalogueOf(modelEntry(version = "2"))
+                world.await("only the new version") {
+                    daemon.candidates().size.also { it shouldNotBe 0 } == 2 &&
+                        world.groups().all { it.modelVersion == "2" && it.phase == GroupPhase.Active }
+                }
+            }
+        }
+
         it("are tried again when a member does not load (guards against groups that never become whole)") {
             runTest {
                 val world = groupWorld(domains = 1, perDomain = 3)
@@ -192,6 +205,22 @@
         }
     }
 
+    describe("a daemon that was paused") {
+        it("serves nothing until it has polled, and loses no member (guards against taking its pause for silence)") {
+            runTest {
+                val world = groupWorld(domains = 1, perDomain = 5)
+                val daemon = world.daemon("d1")
+                world.await("two whole groups") { daemon.candidates().size == 2 }
+                val before = world.groups()
+                world.paused = LONG
+                daemon.candidates().shouldBeEmpty()
+                world.await("two whole groups again", EXPOSURE) { daemon.candidates().size == 2 }
+                delay(LONG)
+                world.groups() shouldBe before
+            }
+        }
+    }
+
     describe("without the store") {
         it("keeps serving, changes nothing and sends no orders (guards against unconfirmed orders)") {
             runTest {
--- a/core/src/test/kotlin/boragering/core/GroupWorld.kt
+++ b/core/src/test/kotlin/boragering/core/GroupWorld.kt
@@ -27,9 +27,12 @@
     /** Whether the live list shows an instance. */
     var listed: (WorldEngine) -> Boolean = { true }
 
+    /** Time that passed while all daemons were paused. */
+    var paused = Duration.ZERO
+
     val clock = object : Clock {
         override fun wallMilliseconds(): Long = WALL_START + test.testScheduler.currentTime
-        override fun monotonic(): Duration = 1.hours + test.testScheduler.currentTime.milliseconds
+        override fun monotonic(): Duration = 1.hours + paused + test.testScheduler.currentTime.milliseconds
     }
 
     fun engine(name: String, domain: String, pool: String = "gpu"): WorldEngine =
--- a/core/src/test/kotlin/boragering/core/PlannerTest.kt
+++ b/core/src/test/kotlin/boragering/core/PlannerTest.kt
@@ -39,6 +39,25 @@
         }
     }
 
+    describe("an instance that was just restarted") {
+        it("is assigned only when the list was read later (guards against assignments by a former domain)") {
+            val fixture = PlanFixture(catalogueOf(modelEntry(replicas = 1)), instances = 2)
+            fixture.settledFor = 2.9.seconds
+            fixture.plan().next.shouldBeNull()
+            fixture.settledFor = 3.seconds
+            fixture.plan().next!!.groups shouldHaveSize 1
+        }
+    }
+
+    describe("a member that has seen a higher fencing number") {
+        it("makes its group get a new one (guards against orders that are always refused)") {
+            val fixture = PlanFixture(catalogueOf(modelEntry(replicas = 1)), instances = 2)
+            fixture.division = Division(DOMAIN, 5, listOf(fixture.group("g", 5, "i1", "i2")))
+            fixture.reports["i2"] = fixture.report("i2").copy(group = GroupId("x"), fence = Fence(9))
+            fixture.plan().next!!.groups.single().fence shouldBe Fence(10)
+        }
+    }
+
     describe("draining") {
         it("ends only after 5.5 s and 3 s of idle reports (guards against interrupted requests)") {
             val fixture = PlanFixture(catalogueOf(), instances = 2)
@@ -111,6 +130,7 @@
         var others: Map<FabricDomain, Division> = emptyMap()
         var idleFor = 1.minutes
         var drainingFor = Duration.ZERO
+        var settledFor = 1.minutes
 
         fun report(name: String) =
             InstanceReport(InstanceId(name), Incarnation("1"), phase = InstancePhase.IDLE)
@@ -136,7 +156,7 @@
             val fleet = Fleet.of(catalogue, listed.values, others + (DOMAIN to division))
             val observations = listed.keys.associateWith { id ->
                 val age = silent[id.value] ?: Duration.ZERO
-                Observation(reports[id.value] ?: report(id.value), age, idleFor = idleFor)
+                Observation(reports[id.value] ?: report(id.value), age, idleFor = idleFor, settledFor = settledFor)
             }
             return plan(
                 PlanningInput(
