Keep a fault in one domain's planning from stopping the others

Polls and planning steps run under a supervisor and record their faults. An empty live list no longer fails the choice of the domain that records shortages, and a store outage is recorded once instead of every 2 s.

--- a/core/src/main/kotlin/boragering/core/DomainController.kt
+++ b/core/src/main/kotlin/boragering/core/DomainController.kt
@@ -1,12 +1,16 @@
 package boragering.core
 
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.coroutines.CoroutineContext
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -82,10 +86,19 @@
 
     /** Runs until it is cancelled. */
     suspend fun run(): Unit = coroutineScope {
+        val workers = workers(coroutineContext)
         launch { every(settings.listInterval) { readList() } }
         launch { every(settings.echoInterval) { summaries.sendEchoes() } }
-        launch { every(settings.holderInterval) { holder.poll(this@coroutineScope, planned.current(domains()), list) } }
-        launch { every(settings.pollInterval) { round(this@coroutineScope) } }
+        launch { every(settings.holderInterval) { holder.poll(workers, planned.current(domains()), list) } }
+        launch { every(settings.pollInterval) { round(workers) } }
+    }
+
+    /** Polls and planning steps run on their own, so that a fault in one domain does not stop the others. */
+    private fun workers(context: CoroutineContext): CoroutineScope {
+        val recorded = CoroutineExceptionHandler { _, fault ->
+            ports.timeline.record(TimelineEntry("planning-failed", fault.toString()))
+        }
+        return CoroutineScope(context + SupervisorJob(context.job) + recorded)
     }
 
     private suspend fun every(interval: Duration, action: suspend () -> Unit) {
--- a/core/src/main/kotlin/boragering/core/DomainPlanner.kt
+++ b/core/src/main/kotlin/boragering/core/DomainPlanner.kt
@@ -44,6 +44,7 @@
     private val barred = SinceMap<InstanceId>()
     private var stored: StoredDivision? = null
     private var retryAt = Duration.ZERO
+    private var storeFails = false
 
     /** What the domain cannot repair. */
     val currentFindings: PersistentList<HealthFinding> get() = findings.current
@@ -56,7 +57,8 @@
 
     private suspend fun planFrom(present: StoredDivision, view: FleetView) {
         val now = clock.monotonic()
-        val announces = { key: FindingKey -> key.domain != null || domain == view.list.domains.minBy { it.value } }
+        val first = view.list.domains.minByOrNull { it.value }
+        val announces = { key: FindingKey -> key.domain != null || domain == first }
         val plan = plan(input(present.division, view, findings.notes(now, announces)))
         findings.update(plan.findings, now)
         val following = if (plan.next == null) present else write(present, plan, plan.next)
@@ -85,6 +87,7 @@
 
     /** A store that was restored from an old copy must not make versions, and with them fencing numbers, go back. */
     private fun adopt(found: StoredDivision): StoredDivision {
+        storeFails = false
         val known = context.divisions.current()[domain]?.version ?: 0
         val division = found.division
         if (division.version > known) context.ports.items.accept(DivisionDocument.item(division))
@@ -92,7 +95,8 @@
     }
 
     private fun storeFailed(reason: String) {
-        timeline.record(TimelineEntry("division-store", "domain $domain: $reason"))
+        if (!storeFails) timeline.record(TimelineEntry("division-store", "domain $domain: $reason"))
+        storeFails = true
         retryAt = clock.monotonic() + RETRY_PAUSE
     }
 
--- a/core/src/test/kotlin/boragering/core/DomainControllerTest.kt
+++ b/core/src/test/kotlin/boragering/core/DomainControllerTest.kt
@@ -256,6 +256,18 @@
         }
     }
 
+    describe("a fault in the planning of one domain") {
+        it("does not stop the other domains (guards against one division that stops a daemon)") {
+            runTest {
+                val world = groupWorld(domains = 2, perDomain = 4)
+                world.store.broken = Division.key(FabricDomain("f1"))
+                val daemon = world.daemon("d1")
+                world.await("a whole group in f2") { daemon.candidates().size == 1 }
+                daemon.events.map { it.kind }.contains("planning-failed") shouldBe true
+            }
+        }
+    }
+
     describe("a lagging live list") {
         it("does not make groups flap when it misses an instance briefly (guards against needless repairs)") {
             runTest {
--- a/core/src/test/kotlin/boragering/core/GroupWorld.kt
+++ b/core/src/test/kotlin/boragering/core/GroupWorld.kt
@@ -244,7 +244,13 @@
         private set
     private var revision = 0L
 
-    override suspend fun get(key: String) = answer { values[key] }
+    /** The key whose reads throw, which no store should do. */
+    var broken: String? = null
+
+    override suspend fun get(key: String) = answer {
+        check(key != broken) { "fault" }
+        values[key]
+    }
 
     override suspend fun getIfNewer(key: String, revision: StoreRevision) =
         answer { values[key]?.takeIf { it.revision > revision } }
