--- a/core/src/main/kotlin/boragering/core/GroupFormation.kt
+++ b/core/src/main/kotlin/boragering/core/GroupFormation.kt
@@ -30,7 +30,7 @@
 internal fun PlanningDraft.loadsInProgress(): Int =
     groups.count { group ->
         group.model != null && group.phase == GroupPhase.Active &&
-            (group.fence.value == version || group.members.all { input.stateOf(group, it) !is MemberState.Lost }) &&
+            (group.fence.value == version || group.members.all { input.stateOf(group, it) !is MemberCondition.Lost }) &&
             !input.isWhole(group)
     }
 
--- a/core/src/main/kotlin/boragering/core/GroupRepair.kt
+++ b/core/src/main/kotlin/boragering/core/GroupRepair.kt
@@ -34,7 +34,7 @@
     (input.catalogue.entries[group.entry] as? ModelEntry)?.enforcesFencing ?: false
 
 /** A group with the states of its lost members. [pool] is `null` when the entry is gone. */
-private class BrokenGroup(val group: Group, val entry: Entry?, val lost: Map<Member, MemberState.Lost>) {
+private class BrokenGroup(val group: Group, val entry: Entry?, val lost: Map<Member, MemberCondition.Lost>) {
     val pool: String? get() = entry?.pool
     val reason: String
         get() = lost.entries.joinToString("; ") { (member, state) -> "${member.instance} ${state.reason}" }
@@ -42,7 +42,7 @@
 
 private fun PlanningDraft.brokenGroup(group: Group): BrokenGroup? {
     val lost = group.members.mapNotNull { member ->
-        (input.stateOf(group, member) as? MemberState.Lost)?.let { member to it }
+        (input.stateOf(group, member) as? MemberCondition.Lost)?.let { member to it }
     }
     return if (lost.isEmpty()) null else BrokenGroup(group, input.catalogue.entries[group.entry], lost.toMap())
 }
--- a/core/src/main/kotlin/boragering/core/GroupRetirement.kt
+++ b/core/src/main/kotlin/boragering/core/GroupRetirement.kt
@@ -16,7 +16,7 @@
     val idle = input.recent(leader.instance) != null &&
         input.observations.getValue(leader.instance).idleFor >= input.settings.idleTime
     // A leader that answers but is unready for long may still be running requests, so only its idleness counts.
-    return idle || (state is MemberState.Lost && !state.loadFailed)
+    return idle || (state is MemberCondition.Lost && !state.loadFailed)
 }
 
 /** Begins to drain groups that are no longer wanted, or have a member that is leaving. */
--- a/core/src/main/kotlin/boragering/core/MemberState.kt
+++ b/core/src/main/kotlin/boragering/core/MemberCondition.kt
@@ -1,32 +1,32 @@
 package boragering.core
 
 /** What the planner concludes about one member of a group. */
-internal sealed interface MemberState {
+internal sealed interface MemberCondition {
     /** The member is ready for its group. */
-    data object Ready : MemberState
+    data object Ready : MemberCondition
 
     /** The member is not ready, but is expected to become so. */
-    data object Unready : MemberState
+    data object Unready : MemberCondition
 
     /** The member must be replaced. [loadFailed] says that it answers but did not become ready in time. */
-    data class Lost(val reason: String, val loadFailed: Boolean = false) : MemberState
+    data class Lost(val reason: String, val loadFailed: Boolean = false) : MemberCondition
 }
 
 /** The state of [member] of [group]. A member not yet observed is not lost. */
-internal fun PlanningInput.stateOf(group: Group, member: Member): MemberState {
-    val seen = observations[member.instance] ?: return MemberState.Unready
+internal fun PlanningInput.stateOf(group: Group, member: Member): MemberCondition {
+    val seen = observations[member.instance] ?: return MemberCondition.Unready
     val recent = recent(member.instance)
     val lost = when {
-        seen.silentFor >= settings.lossLimit -> MemberState.Lost("does not report")
-        seen.unlistedFor >= settings.absenceLimit -> MemberState.Lost("is not in the live list")
-        recent != null && recent.incarnation != member.incarnation -> MemberState.Lost("was restarted")
-        seen.unreadyFor >= settings.loadLimit -> MemberState.Lost("did not become ready", loadFailed = true)
+        seen.silentFor >= settings.lossLimit -> MemberCondition.Lost("does not report")
+        seen.unlistedFor >= settings.absenceLimit -> MemberCondition.Lost("is not in the live list")
+        recent != null && recent.incarnation != member.incarnation -> MemberCondition.Lost("was restarted")
+        seen.unreadyFor >= settings.loadLimit -> MemberCondition.Lost("did not become ready", loadFailed = true)
         else -> null
     }
     val ready = recent != null && group.isServedBy(member, recent)
-    return lost ?: if (ready) MemberState.Ready else MemberState.Unready
+    return lost ?: if (ready) MemberCondition.Ready else MemberCondition.Unready
 }
 
 /** Whether all members of [group] are ready. */
 internal fun PlanningInput.isWhole(group: Group): Boolean =
-    group.members.all { stateOf(group, it) == MemberState.Ready }
+    group.members.all { stateOf(group, it) == MemberCondition.Ready }
--- a/core/src/test/kotlin/boragering/core/DomainControllerTest.kt
+++ b/core/src/test/kotlin/boragering/core/DomainControllerTest.kt
@@ -15,19 +15,13 @@
 class DomainControllerTest : DescribeSpec({
     describe("groups of engines") {
         it("become whole (guards against orders that are never sent)") {
-            runTest {
-                val world = groupWorld(domains = 1, perDomain = 5)
-                val daemon = world.daemon("d1")
-                world.await("two whole groups") { daemon.candidates().size == 2 }
+            servingTest(perDomain = 5) { world, daemon ->
                 world.groups().flatMap { it.members }.distinctBy { it.instance } shouldHaveSize 4
             }
         }
 
         it("are repaired with a spare instance when a member is lost (guards against idle survivors)") {
-            runTest {
-                val world = groupWorld(domains = 1, perDomain = 5)
-                val daemon = world.daemon("d1")
-                world.await("two whole groups") { daemon.candidates().size == 2 }
+            servingTest(perDomain = 5) { world, daemon ->
                 val before = world.groups().first()
                 world.follower(before).reachable = false
                 delay(EXPOSURE)
@@ -40,10 +34,7 @@
         }
 
         it("are dissolved for one another without spares (guards against stranded instances)") {
-            runTest {
-                val world = groupWorld(domains = 1, perDomain = 4)
-                val daemon = world.daemon("d1")
-                world.await("two whole groups") { daemon.candidates().size == 2 }
+            servingTest(perDomain = 4) { world, daemon ->
                 world.groups().forEach { world.follower(it).reachable = false }
                 delay(EXPOSURE)
                 daemon.candidates().shouldBeEmpty()
@@ -54,10 +45,7 @@
         }
 
         it("get a restarted member back under a new fencing number (guards against stale membership)") {
-            runTest {
-                val world = groupWorld(domains = 1, perDomain = 4)
-                val daemon = world.daemon("d1")
-                world.await("two whole groups") { daemon.candidates().size == 2 }
+            servingTest(perDomain = 4) { world, daemon ->
                 val before = world.groups().first()
                 world.follower(before).restart()
                 world.await("not a candidate", EXPOSURE) { daemon.candidates().none { it.group == before.id } }
@@ -67,10 +55,7 @@
         }
 
         it("recover from a late order to an engine that ignores fencing (guards against split groups)") {
-            runTest {
-                val world = groupWorld(domains = 1, perDomain = 4)
-                val daemon = world.daemon("d1")
-                world.await("two whole groups") { daemon.candidates().size == 2 }
+            servingTest(perDomain = 4) { world, daemon ->
                 val group = world.groups().first()
                 val engine = world.follower(group).also { it.enforcesFencing = false }
                 engine.take(Order.Load(GroupId("old"), Fence(0), "x", "1", emptyList(), engine.id))
@@ -81,10 +66,7 @@
         }
 
         it("are replaced before they drain when the version changes (guards against downtime)") {
-            runTest {
-                val world = groupWorld(domains = 1, perDomain = 6)
-                val daemon = world.daemon("d1")
-                world.await("two whole groups") { daemon.candidates().size == 2 }
+            servingTest(perDomain = 6) { world, daemon ->
                 world.catalogue = catalogueOf(modelEntry(version = "2"))
                 world.await("only the new version") {
                     daemon.candidates().size.also { it shouldNotBe 0 } == 2 &&
@@ -94,10 +76,7 @@
         }
 
         it("move to another domain when theirs is down (guards against counting dead instances as spare)") {
-            runTest {
-                val world = groupWorld(domains = 2, perDomain = 4)
-                val daemon = world.daemon("d1")
-                world.await("two whole groups") { daemon.candidates().size == 2 }
+            servingTest(domains = 2, perDomain = 4) { world, daemon ->
                 world.groups().map { it.id.value.substringAfter('.').take(2) }.toSet() shouldBe setOf("f1", "f2")
                 world.engines.values.filter { it.domain == "f1" }.forEach { it.reachable = false }
                 world.await("two whole groups in f2") {
@@ -108,10 +87,7 @@
         }
 
         it("are replaced one after the other without spares (guards against a version that never arrives)") {
-            runTest {
-                val world = groupWorld(domains = 1, perDomain = 4)
-                val daemon = world.daemon("d1")
-                world.await("two whole groups") { daemon.candidates().size == 2 }
+            servingTest(perDomain = 4) { world, daemon ->
                 world.catalogue = catalogueOf(modelEntry(version = "2"))
                 world.await("only the new version") {
                     daemon.candidates().size.also { it shouldNotBe 0 } == 2 &&
@@ -134,10 +110,7 @@
 
     describe("draining") {
         it("keeps a group whose leader reports work (guards against interrupted requests)") {
-            runTest {
-                val world = groupWorld(domains = 1, perDomain = 4)
-                val daemon = world.daemon("d1")
-                world.await("two whole groups") { daemon.candidates().size == 2 }
+            servingTest(perDomain = 4) { world, daemon ->
                 world.engines.values.forEach { it.running = 1 }
                 world.catalogue = catalogueOf(modelEntry(replicas = 1))
                 world.await("one candidate", 15.seconds) { daemon.candidates().size == 1 }
@@ -156,10 +129,7 @@
             "its own report" to { it.leaving = true },
         ).forEach { (sign, leave) ->
             it("begins when $sign says that a member leaves (guards against new work for a leaving target)") {
-                runTest {
-                    val world = groupWorld(domains = 1, perDomain = 6)
-                    val daemon = world.daemon("d1")
-                    world.await("two whole groups") { daemon.candidates().size == 2 }
+                servingTest(perDomain = 6) { world, daemon ->
                     val group = world.groups().first()
                     leave(world.follower(group))
                     delay(LEAVING_LIMIT)
@@ -196,7 +166,7 @@
                 planner.reaches = { false }
                 planner.stall = LONG
                 // The planner finds all members silent after five seconds, so the store is cut off for it as well.
-                world.store.fault = { StoreFault.NOT_APPLIED }
+                world.store.fault = { WriteFault.NOT_APPLIED }
                 repeat(LONG_STEPS) {
                     delay(GroupWorld.STEP)
                     holder.candidates() shouldHaveSize 2
@@ -207,10 +177,7 @@
 
     describe("a daemon that was paused") {
         it("serves nothing until it has polled, and loses no member (guards against taking its pause for silence)") {
-            runTest {
-                val world = groupWorld(domains = 1, perDomain = 5)
-                val daemon = world.daemon("d1")
-                world.await("two whole groups") { daemon.candidates().size == 2 }
+            servingTest(perDomain = 5) { world, daemon ->
                 val before = world.groups()
                 world.paused = LONG
                 daemon.candidates().shouldBeEmpty()
@@ -223,19 +190,16 @@
 
     describe("without the store") {
         it("keeps serving, changes nothing and sends no orders (guards against unconfirmed orders)") {
-            runTest {
-                val world = groupWorld(domains = 1, perDomain = 5)
-                val daemon = world.daemon("d1")
-                world.await("two whole groups") { daemon.candidates().size == 2 }
+            servingTest(perDomain = 5) { world, daemon ->
                 delay(LONG)
-                world.store.fault = { StoreFault.NOT_APPLIED }
+                world.store.fault = { WriteFault.NOT_APPLIED }
                 val orders = world.engines.values.sumOf { it.orders.size }
                 val lost = world.follower(world.groups().first())
                 lost.reachable = false
                 delay(LONG)
                 daemon.candidates() shouldHaveSize 1
                 world.engines.values.sumOf { it.orders.size } shouldBe orders
-                world.store.fault = { StoreFault.NONE }
+                world.store.fault = { WriteFault.NONE }
                 world.await("repaired", 15.seconds) { daemon.candidates().size == 2 }
             }
         }
@@ -270,10 +234,7 @@
 
     describe("a lagging live list") {
         it("does not make groups flap when it misses an instance briefly (guards against needless repairs)") {
-            runTest {
-                val world = groupWorld(domains = 1, perDomain = 5)
-                val daemon = world.daemon("d1")
-                world.await("two whole groups") { daemon.candidates().size == 2 }
+            servingTest(perDomain = 5) { world, daemon ->
                 val before = world.groups()
                 world.listed = { it.id.value != before.first().leader.value }
                 delay(EXPOSURE)
@@ -313,6 +274,14 @@
     }
 }
 
+/** Runs [test] in a world whose only daemon has two whole groups. */
+private fun servingTest(domains: Int = 1, perDomain: Int, test: suspend (GroupWorld, WorldDaemon) -> Unit) = runTest {
+    val world = groupWorld(domains, perDomain)
+    val daemon = world.daemon("d1")
+    world.await("two whole groups") { daemon.candidates().size == 2 }
+    test(world, daemon)
+}
+
 private fun GroupWorld.plannerAndHolder(): Pair<WorldDaemon, WorldDaemon> {
     val both = listOf(daemon("d1", "d2"), daemon("d2", "d1"))
     return both.first { it.peers.plans(FabricDomain("f1")) } to both.first { !it.peers.plans(FabricDomain("f1")) }
--- a/core/src/test/kotlin/boragering/core/GroupWorld.kt
+++ b/core/src/test/kotlin/boragering/core/GroupWorld.kt
@@ -15,7 +15,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** What the store of a [GroupWorld] does with one call. */
-internal enum class StoreFault { NONE, NOT_APPLIED, RESPONSE_LOST, APPLIED_LATE }
+internal enum class WriteFault { NONE, NOT_APPLIED, RESPONSE_LOST, APPLIED_LATE }
 
 /** A platform in memory, with daemons that run controllers, in virtual time. */
 internal class GroupWorld(private val test: TestScope, var catalogue: Catalogue = catalogueOf(modelEntry())) {
@@ -239,7 +239,7 @@
 internal class WorldStore(private val world: GroupWorld) : Store {
     val values = sortedMapOf<String, StoredValue>()
     val history = ArrayList<Division>()
-    var fault: (Int) -> StoreFault = { StoreFault.NONE }
+    var fault: (Int) -> WriteFault = { WriteFault.NONE }
     var calls = 0
         private set
     private var revision = 0L
@@ -279,13 +279,13 @@
         val kind = fault(calls++)
         delay(LATENCY)
         return when (kind) {
-            StoreFault.NONE -> effect().right()
-            StoreFault.NOT_APPLIED -> StoreFailure.NotApplied("refused").left()
-            StoreFault.RESPONSE_LOST -> {
+            WriteFault.NONE -> effect().right()
+            WriteFault.NOT_APPLIED -> StoreFailure.NotApplied("refused").left()
+            WriteFault.RESPONSE_LOST -> {
                 effect()
                 StoreFailure.Uncertain("response lost").left()
             }
-            StoreFault.APPLIED_LATE -> {
+            WriteFault.APPLIED_LATE -> {
                 world.scope.launch {
                     delay(LATE)
                     effect()
--- a/core/src/test/kotlin/boragering/core/RivalPlannersTest.kt
+++ b/core/src/test/kotlin/boragering/core/RivalPlannersTest.kt
@@ -14,7 +14,7 @@
 
 /** Two daemons that do not know one another, so that each plans every domain, at the same time. */
 class RivalPlannersTest : DescribeSpec({
-    val faults = StoreFault.entries - StoreFault.NONE
+    val faults = WriteFault.entries - WriteFault.NONE
     describe("two planners of the same domains") {
         faults.forEach { kind ->
             it("agree with $kind at each store call in turn (guards against shared instances after a lost response)") {
@@ -23,7 +23,7 @@
                     var calls = 0
                     runTest {
                         val world = groupWorld(domains = 2, perDomain = 5)
-                        world.store.fault = { if (it == call) kind else StoreFault.NONE }
+                        world.store.fault = { if (it == call) kind else WriteFault.NONE }
                         val rivals = listOf(world.daemon("d1"), world.daemon("d2"))
                         withClue("fault at call $call") {
                             world.awaitAgreement(rivals)
@@ -44,14 +44,14 @@
                 runTest {
                     val random = Random(seed)
                     val world = groupWorld(domains = 2, perDomain = 4)
-                    world.store.fault = { StoreFault.entries.random(random) }
+                    world.store.fault = { WriteFault.entries.random(random) }
                     val rivals = listOf(world.daemon("d1"), world.daemon("d2"))
                     val disturbance = launch { world.disturb(random, rivals) }
                     while (disturbance.isActive) {
                         delay(GroupWorld.STEP)
                         withClue("seed $seed") { world.checkNow(rivals) }
                     }
-                    world.store.fault = { StoreFault.NONE }
+                    world.store.fault = { WriteFault.NONE }
                     withClue("seed $seed") {
                         world.awaitAgreement(rivals)
                         world.checkHistory()
