--- a/core/src/main/kotlin/boragering/core/GroupRepair.kt
+++ b/core/src/main/kotlin/boragering/core/GroupRepair.kt
@@ -13,8 +13,28 @@
         .forEach { (pool, broken) -> repairPool(pool, broken) }
 }
 
+/**
+ * Gives a group a new fencing number when a member that enforces fencing reports a higher one or refused the present
+ * one, for example after an order for another domain, since it would refuse every order with the present number.
+ */
+internal fun PlanningDraft.raiseFences() {
+    groups.filter { it.phase == GroupPhase.Active && enforcesFencing(it) }.forEach { group ->
+        val refusing = group.members.firstOrNull { member ->
+            val report = input.recent(member.instance)?.takeIf { it.incarnation == member.incarnation }
+            val reportsHigher = report?.fence?.let { it > group.fence && it.value < version } ?: false
+            reportsHigher || input.refused[member.instance] == GroupKey(group.id, group.fence)
+        }
+        if (refusing != null) {
+            put(group.copy(fence = Fence(version)), "new fencing number: ${refusing.instance} has seen a higher one")
+        }
+    }
+}
+
+private fun PlanningDraft.enforcesFencing(group: Group): Boolean =
+    (input.catalogue.entries[group.entry] as? ModelEntry)?.enforcesFencing ?: false
+
 /** A group with the states of its lost members. [pool] is `null` when the entry is gone. */
-private class BrokenGroup(val group: Group, val entry: Entry?, val lost: Map<Member, MemberState.Lost>) {
+private class BrokenGroup(val group: Group, val entry: Entry?, val lost: Map<Member, MemberCondition.Lost>) {
     val pool: String? get() = entry?.pool
     val reason: String
         get() = lost.entries.joinToString("; ") { (member, state) -> "${member.instance} ${state.reason}" }
@@ -22,7 +42,7 @@
 
 private fun PlanningDraft.brokenGroup(group: Group): BrokenGroup? {
     val lost = group.members.mapNotNull { member ->
-        (input.stateOf(group, member) as? MemberState.Lost)?.let { member to it }
+        (input.stateOf(group, member) as? MemberCondition.Lost)?.let { member to it }
     }
     return if (lost.isEmpty()) null else BrokenGroup(group, input.catalogue.entries[group.entry], lost.toMap())
 }
@@ -31,9 +51,11 @@
     val remaining = ArrayDeque(broken.sortedWith(compareBy({ it.lost.size }, { it.group.id.value })))
     while (remaining.isNotEmpty()) {
         val easiest = remaining.first()
-        val enough = pool != null && spares.count(pool) + returned(easiest) >= easiest.lost.size
+        val lacking = easiest.lost.size - (pool?.let(spares::count) ?: 0)
         when {
-            !enough -> dissolve(remaining.removeLast())
+            lacking > returned(easiest, settled = false) -> dissolve(remaining.removeLast())
+            // The group waits until its restarted members can be assigned again.
+            lacking > returned(easiest, settled = true) -> remaining.removeFirst()
             // The group waits for its turn to load; a later step repairs it.
             !loadsAllowed(easiest.group) -> remaining.removeFirst()
             else -> repair(remaining.removeFirst())
@@ -41,9 +63,9 @@
     }
 }
 
-/** Lost members that came back and can be assigned again, such as restarted ones. */
-private fun PlanningDraft.returned(broken: BrokenGroup): Int =
-    broken.lost.count { (member, state) -> !state.loadFailed && spares.canReturn(member.instance) }
+/** Lost members that came back and can be assigned again, such as restarted ones, at once if they are [settled]. */
+private fun PlanningDraft.returned(broken: BrokenGroup, settled: Boolean): Int =
+    broken.lost.count { (member, state) -> !state.loadFailed && spares.canReturn(member.instance, settled) }
 
 private fun PlanningDraft.loadsAllowed(group: Group): Boolean =
     group.model == null || loadsInProgress() < input.settings.loadsAtOnce
