End the daemons when the driver itself is killed

A shutdown hook does not run when the driver is killed. In a trial with the daemon under construction, killing the demo left its three daemons running; the stand-ins ended with their input. The driver now starts a shell that reads the children's ids and kills those that still run when its input ends. It checks that a process's command line names the deployment's directory, because an id can have passed on to another process.

--- a/scenarios/src/main/kotlin/boragering/scenarios/ChildProcesses.kt
+++ b/scenarios/src/main/kotlin/boragering/scenarios/ChildProcesses.kt
@@ -8,6 +8,7 @@
 class ChildProcesses(private val directory: Path) : AutoCloseable {
     private val children = CopyOnWriteArrayList<ChildProcess>()
     private val started = AtomicInteger()
+    private val watchdog = Watchdog(directory)
     private val atExit = Thread { children.forEach { it.end() } }
 
     init {
@@ -28,6 +29,7 @@
             .redirectOutput(output.toFile())
             .redirectError(errors.toFile())
             .start()
+        watchdog.guard(process.pid())
         return ChildProcess(name, process, output, errors).also(children::add)
     }
 
@@ -35,6 +37,7 @@
     @Synchronized
     override fun close() {
         children.forEach { it.end() }
+        watchdog.close()
         try {
             Runtime.getRuntime().removeShutdownHook(atExit)
         } catch (_: IllegalStateException) {
