--- a/adapters/src/test/kotlin/boragering/adapters/LinkFixture.kt
+++ b/adapters/src/test/kotlin/boragering/adapters/LinkFixture.kt
@@ -21,7 +21,7 @@
 internal val SECRET = "a shared secret".toByteArray()
 private const val NONCE = "0123456789abcdef0123456789abcdef"
 
-private object TestClock : Clock {
+internal object TestClock : Clock {
     override fun wallMilliseconds() = 0L
 
     override fun monotonic(): Duration = System.nanoTime().nanoseconds
