Bound digests by bytes and announce large items in comparisons

Digests were split by 256 Ki keys instead of bytes, so that a digest of some ten thousand keys would have exceeded a frame. A comparison announces large items instead of sending them, since rumours may be delivering them already. The time after which an item is asked of another peer grows with the number of open requests, so that a start with many items is not asked for twice.

--- a/core/src/main/kotlin/boragering/core/ItemExchange.kt
+++ b/core/src/main/kotlin/boragering/core/ItemExchange.kt
@@ -47,7 +47,7 @@
         val own = ItemDigest.buckets(all)
         val different = own.indices.filter { own[it] != message.hashes.getOrNull(it) }
         val versions = all.groupBy({ ItemDigest.bucket(it.key) }, { it.key to it.version })
-        batches(different) { versions[it].orEmpty().size }.forEach { buckets ->
+        batches(different) { bucket -> versions[bucket].orEmpty().sumOf { it.first.length } }.forEach { buckets ->
             link.send(from, PeerMessage.Digest(buckets.flatMap { versions[it].orEmpty() }.toMap(), buckets))
         }
     }
@@ -58,7 +58,7 @@
             (covered == null || ItemDigest.bucket(item.key) in covered) &&
                 item.version > (message.versions[item.key] ?: Long.MIN_VALUE)
         }
-        sendItems(from, newer)
+        offer(from, newer)
         requests.request(from, message.versions)
     }
 
--- a/core/src/main/kotlin/boragering/core/ItemRequests.kt
+++ b/core/src/main/kotlin/boragering/core/ItemRequests.kt
@@ -31,7 +31,9 @@
     fun retry() {
         val now = clock.monotonic()
         val due = lock.withLock {
-            val late = requests.filter { (_, request) -> now - request.at >= REQUEST_TIMEOUT }
+            // Many requests at once, as after a start, take longer to answer; asking again would add to the load.
+            val limit = REQUEST_TIMEOUT * (1 + requests.size / REQUESTS_PER_TIMEOUT)
+            val late = requests.filter { (_, request) -> now - request.at >= limit }
             requests -= late.keys
             val next = late.filter { (key, request) -> request.attempt < ATTEMPTS && lacks(key, request.version) }
             next.forEach { (key, request) -> requests[key] = request.next(now) }
@@ -69,6 +71,7 @@
     private companion object {
         /** Time after which an item is asked of another peer; rumours of it have arrived from several by then. */
         val REQUEST_TIMEOUT = 600.milliseconds
+        const val REQUESTS_PER_TIMEOUT = 50
         const val MAXIMUM_OTHERS = 3
 
         /** Attempts after which the item is left to the comparison of versions. */
--- a/core/src/test/kotlin/boragering/core/DisseminationTest.kt
+++ b/core/src/test/kotlin/boragering/core/DisseminationTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.longs.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
@@ -113,7 +114,27 @@
         }
     }
 
-    describe("a comparison of several thousand items") {
+    describe("a comparison of many items") {
+        it("splits the versions over several messages, so that no frame exceeds 2 MiB") {
+            runTest {
+                val spreading = Spreading(this, 2, loss = 0.0)
+                val digests = mutableListOf<Int>()
+                val handler = spreading.network.handlers.getValue(DaemonId("daemon-1"))
+                spreading.network.handlers[DaemonId("daemon-1")] = { from, message ->
+                    digests += (message as? PeerMessage.Digest)?.versions.orEmpty().keys.sumOf { it.length }
+                    handler(from, message)
+                }
+                val prefix = "key-".padEnd(100, 'x')
+                repeat(20_000) { spreading.replicas.first().accept(Item("$prefix$it", 1, "")) }
+                advanceTimeBy(150)
+                spreading.replicas.last().accept(Item("$prefix-other", 1, ""))
+                handler(DaemonId("daemon-0"), PeerMessage.DigestSummary(0))
+                advanceTimeBy(30)
+                digests.sum() shouldBeGreaterThan 2_000_000
+                digests.max() shouldBeLessThan 300_000
+            }
+        }
+
         it("transfers all of them in frames of less than 2 MiB") {
             runTest {
                 val spreading = Spreading(this, 2, loss = 0.0)
