Close links to daemons that do not respond

After a partition, TCP resends on an old connection only after up to as long as the partition lasted, so that pings on it would fail for several more seconds. Membership now has the link closed when its own ping failed and when a daemon is lost; the next message opens a new one.

The random numbers of the link are shared by all its connections and are now behind a lock.

--- a/adapters/src/main/kotlin/boragering/adapters/Outbox.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/Outbox.kt
@@ -1,28 +1,27 @@
 package boragering.adapters
 
-import boragering.core.PeerTraffic
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
-import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** The messages to one peer or address, and the state of the links that take them. */
-internal class Outbox(traffic: PeerTraffic, private val random: Random) {
-    val queue = SendQueue(traffic)
+internal class Outbox(ports: PeerLinkPorts) {
+    val queue = SendQueue(ports.traffic)
+    private val random = ports.random
     private val lock = ReentrantLock()
-    private var links = 0
+    private val links = mutableSetOf<AutoCloseable>()
     private var connecting = false
     private var failures = 0
     private var retryAt = Duration.ZERO
 
     /** Whether a link is open or a connection attempt is in progress. */
-    val active: Boolean get() = lock.withLock { links > 0 || connecting }
+    val active: Boolean get() = lock.withLock { links.isNotEmpty() || connecting }
 
     /** Whether the caller has to connect now; it must call [connected] or [failed] afterwards. */
     fun claimConnect(now: Duration): Boolean = lock.withLock {
-        val due = links == 0 && !connecting && now >= retryAt
+        val due = links.isEmpty() && !connecting && now >= retryAt
         if (due) connecting = true
         due
     }
@@ -37,21 +36,28 @@
             failures += 1
             val doubled = FIRST_BACKOFF * (1 shl minOf(failures - 1, MAXIMUM_DOUBLINGS))
             retryAt = now + minOf(doubled, LAST_BACKOFF) * (1 - random.nextDouble() / 2)
-            links == 0
+            links.isEmpty()
         }
         if (unreachable) queue.clear()
     }
 
-    /** A link was established; returns whether it is the first. */
-    fun opened(): Boolean = lock.withLock {
+    /** [link] was established; returns whether it is the first. */
+    fun opened(link: AutoCloseable): Boolean = lock.withLock {
         failures = 0
         retryAt = Duration.ZERO
-        ++links == 1
+        links += link
+        links.size == 1
     }
 
-    /** A link was closed; returns whether it was the last. */
-    fun closed(): Boolean {
-        val last = lock.withLock { --links == 0 }
+    /** Closes all links. */
+    fun closeLinks() = lock.withLock { links.toList() }.forEach { it.close() }
+
+    /** [link] was closed; returns whether it was the last. */
+    fun closed(link: AutoCloseable): Boolean {
+        val last = lock.withLock {
+            links -= link
+            links.isEmpty()
+        }
         queue.wake()
         return last
     }
--- a/adapters/src/main/kotlin/boragering/adapters/PeerLinkSettings.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/PeerLinkSettings.kt
@@ -4,6 +4,7 @@
 import boragering.core.DaemonId
 import boragering.core.EchoClock
 import boragering.core.HybridTime
+import boragering.core.LockedRandom
 import boragering.core.PeerEnvelope
 import boragering.core.PeerTraffic
 import kotlin.random.Random
@@ -41,7 +42,9 @@
 }
 
 /** What a [SocketPeerLink] uses. */
-class PeerLinkPorts(val clock: Clock, val random: Random, val echoes: EchoClock, val traffic: PeerTraffic)
+class PeerLinkPorts(val clock: Clock, random: Random, val echoes: EchoClock, val traffic: PeerTraffic) {
+    internal val random: Random = LockedRandom(random)
+}
 
 /** What a [SocketPeerLink] asks and tells the daemon. Called by several threads; implementations return soon. */
 interface PeerLinkHandler {
--- a/adapters/src/main/kotlin/boragering/adapters/SocketPeerLink.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/SocketPeerLink.kt
@@ -68,7 +68,7 @@
 
     override fun send(to: DaemonId, message: PeerMessage) {
         val address = handler.address(to)
-        val outbox = peers[to] ?: address?.let { peers.computeIfAbsent(to) { newOutbox() } }
+        val outbox = peers[to] ?: address?.let { peers.computeIfAbsent(to) { Outbox(ports) } }
         if (outbox == null) {
             ports.traffic.dropped(message.kind)
         } else {
@@ -81,18 +81,20 @@
         if (known != null) {
             send(known, message)
         } else {
-            post(addresses.computeIfAbsent(address) { newOutbox() }, message, address, null)
+            post(addresses.computeIfAbsent(address) { Outbox(ports) }, message, address, null)
         }
     }
 
+    override fun reconnect(daemon: DaemonId) {
+        peers[daemon]?.closeLinks()
+    }
+
     override fun close() {
         listening?.close()
         scope.cancel()
         selector.close()
     }
 
-    private fun newOutbox() = Outbox(ports.traffic, ports.random)
-
     private fun post(outbox: Outbox, message: PeerMessage, address: String?, expected: DaemonId?) {
         val body = PeerCodec.encode(PeerEnvelope.serializer(), PeerEnvelope(handler.stamp(), message))
         val claimed = address != null && outbox.claimConnect(ports.clock.monotonic())
@@ -153,13 +155,13 @@
         PeerFrames(socket).use { frames ->
             val peer = withTimeoutOrNull(settings.handshakeTime) { protocol.authenticate(frames) }
                 ?: throw HandshakeException("no handshake within ${settings.handshakeTime}")
-            val outbox = peers.computeIfAbsent(peer) { newOutbox() }
-            if (outbox.opened()) handler.opened(peer)
+            val outbox = peers.computeIfAbsent(peer) { Outbox(ports) }
+            if (outbox.opened(frames)) handler.opened(peer)
             try {
                 established(peer, outbox)
                 PeerConnection(peer, frames, outbox, settings, ports, delivery).run()
             } finally {
-                if (outbox.closed()) {
+                if (outbox.closed(frames)) {
                     peers.remove(peer, outbox)
                     outbox.queue.clear()
                     ports.echoes.forget(peer)
--- a/adapters/src/test/kotlin/boragering/adapters/LinkFixture.kt
+++ b/adapters/src/test/kotlin/boragering/adapters/LinkFixture.kt
@@ -8,6 +8,7 @@
 import boragering.core.LinkRole
 import boragering.core.PeerEnvelope
 import boragering.core.PeerMessage
+import boragering.core.PeerMessageKind
 import boragering.core.PeerProtocol
 import boragering.core.PeerTraffic
 import io.ktor.network.selector.SelectorManager
@@ -37,6 +38,9 @@
     val received = CopyOnWriteArrayList<Pair<DaemonId, PeerMessage>>()
     val closed = CopyOnWriteArrayList<DaemonId>()
     val addresses = HashMap<DaemonId, String>()
+
+    @Volatile
+    var dropped = 0
     val echoes = EchoClock(TestClock)
     var address = ""
     private val handler = object : PeerLinkHandler {
@@ -55,13 +59,19 @@
     val link = SocketPeerLink(
         settings,
         HandshakeIdentity(id, secret),
-        PeerLinkPorts(TestClock, Random(1), echoes, PeerTraffic.None),
+        PeerLinkPorts(TestClock, Random(1), echoes, Drops()),
         handler,
     )
 
     suspend fun start() = apply { address = "127.0.0.1:${link.start()}" }
 
     override fun close() = link.close()
+
+    private inner class Drops : PeerTraffic by PeerTraffic.None {
+        override fun dropped(kind: PeerMessageKind) {
+            dropped += 1
+        }
+    }
 }
 
 /** A connection to [address] on which a test sends what it likes. */
--- a/adapters/src/test/kotlin/boragering/adapters/SocketPeerLinkTest.kt
+++ b/adapters/src/test/kotlin/boragering/adapters/SocketPeerLinkTest.kt
@@ -92,6 +92,34 @@
             }
         }
 
+        it("is closed and opened again when its peer does not respond") {
+            pair { a, b ->
+                a.link.send(b.id, ping)
+                until { b.received.size shouldBe 1 }
+                a.link.reconnect(b.id)
+                until { a.closed shouldContain b.id }
+                until {
+                    a.link.send(b.id, ping)
+                    b.received.size shouldBeGreaterThan 1
+                }
+            }
+        }
+
+        it("is closed although the peer has stopped reading, so that a partition does not hold it") {
+            LinkFixture("a").start().use { a ->
+                RawConnection.open(a.address).use { raw ->
+                    raw.authenticate("c")
+                    until {
+                        a.link.send(DaemonId("c"), PeerMessage.Items(listOf(Item("key", 1, content))))
+                        a.dropped shouldBeGreaterThan 0
+                    }
+                    a.link.reconnect(DaemonId("c"))
+                    until { a.closed shouldContain DaemonId("c") }
+                    withTimeout(10.seconds) { raw.awaitClosed() }
+                }
+            }
+        }
+
         it("is opened again after the other daemon could not be reached") {
             LinkFixture("a").start().use { a ->
                 val address = LinkFixture("b").start().use { it.address }
--- a/core/src/main/kotlin/boragering/core/LockedRandom.kt
+++ b/core/src/main/kotlin/boragering/core/LockedRandom.kt
@@ -6,7 +6,7 @@
 import kotlin.time.Duration
 
 /** Makes [source] safe for use by several threads; seeded generators of the standard library are not. */
-internal class LockedRandom(private val source: Random) : Random() {
+class LockedRandom(private val source: Random) : Random() {
     private val lock = ReentrantLock()
 
     override fun nextBits(bitCount: Int): Int = lock.withLock { source.nextBits(bitCount) }
--- a/core/src/main/kotlin/boragering/core/MemberTable.kt
+++ b/core/src/main/kotlin/boragering/core/MemberTable.kt
@@ -26,10 +26,10 @@
 internal class MemberTable(
     private val self: Registration,
     private val items: ItemReplica,
-    private val clock: Clock,
+    private val ports: MembershipPorts,
     private val isolation: Isolation,
-    private val timeline: Timeline,
 ) {
+    private val clock = ports.clock
     private val lock = ReentrantLock()
     private val members = HashMap<DaemonId, KnownDaemon>()
     private var wasIsolated = false
@@ -102,8 +102,11 @@
         }
         val known = before.map { it.daemon }.toSet()
         val current = after.map { it.daemon }.toSet()
-        (current - known).forEach { timeline.record(TimelineEntry("daemon-live", "daemon $it is live")) }
-        (known - current).forEach { timeline.record(TimelineEntry("daemon-lost", "daemon $it is no longer live")) }
+        (current - known).forEach { ports.timeline.record(TimelineEntry("daemon-live", "daemon $it is live")) }
+        (known - current).forEach {
+            ports.timeline.record(TimelineEntry("daemon-lost", "daemon $it is no longer live"))
+            ports.seedLink.reconnect(it)
+        }
     }
 
     /** Times of the failure detection. */
--- a/core/src/main/kotlin/boragering/core/Membership.kt
+++ b/core/src/main/kotlin/boragering/core/Membership.kt
@@ -33,7 +33,7 @@
     private val random = LockedRandom(random)
     private val isolation = Isolation(ports.clock)
     private val own = OwnRecord(self, items)
-    private val table = MemberTable(self, items, ports.clock, isolation, ports.timeline)
+    private val table = MemberTable(self, items, ports, isolation)
     private val detector =
         FailureDetector(self.daemon, Findings(), ports.link, ports.pauses, ports.clock, this.random)
     private val leaseWake = Wake()
@@ -118,6 +118,7 @@
         override fun suspect(daemon: DaemonId) {
             val known = table.get(daemon)?.record ?: return
             val suspicion = known.copy(state = MemberState.SUSPECTED)
+            ports.seedLink.reconnect(daemon)
             if (items.accept(suspicion.toItem())) contacts.tell(suspicion)
         }
     }
