--- a/adapters/src/main/kotlin/boragering/adapters/PeerLinkSettings.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/PeerLinkSettings.kt
@@ -3,6 +3,7 @@
 import boragering.core.Clock
 import boragering.core.DaemonId
 import boragering.core.HybridTime
+import boragering.core.LockedRandom
 import boragering.core.PeerEnvelope
 import boragering.core.PeerTraffic
 import kotlin.random.Random
@@ -35,7 +36,9 @@
 }
 
 /** What a [SocketPeerLink] uses. */
-class PeerLinkPorts(val clock: Clock, val random: Random, val traffic: PeerTraffic)
+class PeerLinkPorts(val clock: Clock, random: Random, val traffic: PeerTraffic) {
+    internal val random: Random = LockedRandom(random)
+}
 
 /** What a [SocketPeerLink] asks and tells the daemon. Called by several threads; implementations return soon. */
 interface PeerLinkHandler {
--- a/adapters/src/test/kotlin/boragering/adapters/LinkFixture.kt
+++ b/adapters/src/test/kotlin/boragering/adapters/LinkFixture.kt
@@ -7,6 +7,7 @@
 import boragering.core.LinkRole
 import boragering.core.PeerEnvelope
 import boragering.core.PeerMessage
+import boragering.core.PeerMessageKind
 import boragering.core.PeerProtocol
 import boragering.core.PeerTraffic
 import io.ktor.network.selector.SelectorManager
@@ -20,7 +21,7 @@
 internal val SECRET = "a shared secret".toByteArray()
 private const val NONCE = "0123456789abcdef0123456789abcdef"
 
-private object TestClock : Clock {
+internal object TestClock : Clock {
     override fun wallMilliseconds() = 0L
 
     override fun monotonic(): Duration = System.nanoTime().nanoseconds
@@ -36,6 +37,9 @@
     val received = CopyOnWriteArrayList<Pair<DaemonId, PeerMessage>>()
     val closed = CopyOnWriteArrayList<DaemonId>()
     val addresses = HashMap<DaemonId, String>()
+
+    @Volatile
+    var dropped = 0
     var address = ""
     private val handler = object : PeerLinkHandler {
         override fun address(daemon: DaemonId) = addresses[daemon]
@@ -53,13 +57,19 @@
     val link = SocketPeerLink(
         settings,
         HandshakeIdentity(id, secret),
-        PeerLinkPorts(TestClock, Random(1), PeerTraffic.None),
+        PeerLinkPorts(TestClock, Random(1), Drops()),
         handler,
     )
 
     suspend fun start() = apply { address = "127.0.0.1:${link.start()}" }
 
     override fun close() = link.close()
+
+    private inner class Drops : PeerTraffic by PeerTraffic.None {
+        override fun dropped(kind: PeerMessageKind) {
+            dropped += 1
+        }
+    }
 }
 
 /** A connection to [address] on which a test sends what it likes. */
--- /dev/null
+++ b/core/src/test/kotlin/boragering/core/EchoBookTest.kt
@@ -0,0 +1,67 @@
+package boragering.core
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class EchoBookTest : DescribeSpec({
+    val peer = DaemonId("a")
+    val other = DaemonId("b")
+
+    describe("an echo book") {
+        it("remembers when an echo was sent, and knows no other number") {
+            var now = 1.seconds
+            val echoes = EchoBook(clockOf { now })
+            val echo = echoes.next()
+            now = 5.seconds
+            echoes.sentAt(echo.number) shouldBe 1.seconds
+            echoes.sentAt(echo.number + 1) shouldBe null
+        }
+
+        it("keeps the highest number received, so that a late echo does not make evidence look older") {
+            val echoes = EchoBook(clockOf { Duration.ZERO })
+            listOf(2L, 5L, 3L).forEach { echoes.received(peer, PeerMessage.Echo(it)) }
+            echoes.highest(peer) shouldBe 5
+            echoes.highest(other) shouldBe null
+        }
+
+        it("forgets peers that are gone and never uses a number again, so that a former echo has no new time") {
+            val echoes = EchoBook(clockOf { Duration.ZERO })
+            echoes.received(peer, PeerMessage.Echo(4))
+            val former = echoes.next()
+            echoes.retain(emptySet())
+            echoes.highest(peer) shouldBe null
+            echoes.next() shouldNotBe former
+        }
+
+        it("remembers a bounded number of echoes") {
+            val echoes = EchoBook(clockOf { Duration.ZERO })
+            val numbers = List(100) { echoes.next().number }
+            numbers.count { echoes.sentAt(it) != null } shouldBe 64
+        }
+    }
+
+    describe("a pause detector") {
+        it("reports the length of a pause once, and no ordinary time between checks") {
+            var now = Duration.ZERO
+            val gaps = mutableListOf<Duration>()
+            val detector = PauseDetector(clockOf { now }).apply { listen(gaps::add) }
+            listOf(200.milliseconds, 200.milliseconds, 30.seconds, 200.milliseconds).forEach {
+                detector.check()
+                now += it
+            }
+            detector.check()
+            gaps shouldBe listOf(30.seconds)
+            detector.pauses shouldBe 1
+        }
+    }
+})
+
+private fun clockOf(now: () -> Duration) = object : Clock {
+    override fun wallMilliseconds() = 0L
+
+    override fun monotonic() = now()
+}
--- a/daemon/src/test/kotlin/boragering/daemon/AnswerWriterTest.kt
+++ b/daemon/src/test/kotlin/boragering/daemon/AnswerWriterTest.kt
@@ -134,7 +134,7 @@
     describe("a request that failed before its answer began") {
         it("is answered with the problem, also on a connection that ends with it") {
             serving({ _, _ -> RequestResult.Failed(broken, started = false) }) { port ->
-                // Repeated, since a server that takes the last request of a connection for a lost caller fails at times.
+                // Repeated: a server that takes the last request of a connection for a lost caller fails at times.
                 repeat(REPETITIONS) {
                     val answer = connect(port, "close").use { it.getInputStream().readAllBytes().decodeToString() }
                     answer shouldStartWith "HTTP/1.1 502"
