Show each division change once, group transitions, and the whole system's status

Cause: the demo's time line showed each division event twice, once from the division and once from the planner, and no event said that a group had stopped being whole. 'boragerctl status' showed one daemon's findings, and a daemon knows only the findings of the domains that it plans. Daemons advertised the addresses that they bind, so that nothing could stand between them.

Ruled out: findings in the division documents, which would write the store for each change of a shortage; asking every daemon is one round for the operator.

The client's test of an unreachable daemon uses 'catalogue show', which asks one daemon; the new status has a test of its own.

--- a/client/src/main/kotlin/boragering/client/StatusCommands.kt
+++ b/client/src/main/kotlin/boragering/client/StatusCommands.kt
@@ -6,38 +6,57 @@
 import boragering.core.GroupsAnswer
 import boragering.core.StatusAnswer
 import boragering.core.TimelineText
+import kotlinx.serialization.Serializable
 
-internal class StatusCommand : RemoteCommand("Shows one daemon's view: entries, findings, live daemons.") {
+/** The state of the whole system, as `--output json` prints it. */
+@Serializable
+internal data class SystemStatus(val daemons: List<StatusAnswer>, val unreachable: List<String>)
+
+internal class StatusCommand : RemoteCommand("Shows the state of all daemons, entries and findings.") {
     override suspend fun Raise<CommandFailure>.ask(daemons: Daemons, console: Console): Result {
-        val answer = daemons.read(this, OperatorCall("/operator/status"), StatusAnswer.serializer())
-        return Result(ExitCode.SUCCESS, text(answer), Answers.text(StatusAnswer.serializer(), answer))
+        val answers = ArrayList<StatusAnswer>()
+        val call = OperatorCall("/operator/status")
+        val unreachable = daemons.readAll(this, call, StatusAnswer.serializer()) { answers += it }
+        val status = SystemStatus(answers.sortedBy { it.daemon.value }, unreachable)
+        return Result(ExitCode.SUCCESS, text(status), Answers.text(SystemStatus.serializer(), status))
     }
 
-    private fun text(answer: StatusAnswer): String = listOf(summary(answer), entries(answer), findings(answer))
-        .filter { it.isNotEmpty() }.joinToString("\n\n")
+    private fun text(status: SystemStatus): String =
+        listOf(daemons(status.daemons), entries(status.daemons), findings(status.daemons), notes(status.unreachable))
+            .filter { it.isNotEmpty() }
+            .joinToString("\n\n")
 
-    private fun summary(answer: StatusAnswer): String = listOf(
-        "daemon        ${answer.daemon} (${answer.region}, ${answer.availabilityZone})",
-        "state         " + if (answer.draining) "draining" else if (answer.ready) "ready" else "not ready",
-        "catalogue     " + (answer.catalogueRevision?.let { "revision $it" } ?: "none"),
-        "store         " + if (answer.storeReachable) "reachable" else "not reachable",
-        "live daemons  ${answer.liveDaemons.size}",
-    ).joinToString("\n") { printable(it) }
+    private fun daemons(daemons: List<StatusAnswer>): String {
+        val rows = daemons.map {
+            val state = if (it.draining) "draining" else if (it.ready) "ready" else "not ready"
+            val revision = it.catalogueRevision?.toString() ?: "none"
+            val store = if (it.storeReachable) "reachable" else "not reachable"
+            listOf(it.daemon.value, it.availabilityZone.value, state, revision, store, "${it.liveDaemons.size}")
+        }
+        return table(listOf("DAEMON", "ZONE", "STATE", "CATALOGUE", "STORE", "SEES LIVE"), rows)
+    }
 
-    private fun entries(answer: StatusAnswer): String {
-        val rows = answer.entries.map {
-            listOf(it.entry.value, it.wanted?.toString() ?: "-", "${it.whole}", "${it.queued}", "${it.inFlight}")
+    /** Each daemon knows its own requests and the groups that it holds, so that requests add up and groups do not. */
+    private fun entries(daemons: List<StatusAnswer>): String {
+        val byName = daemons.flatMap { it.entries }.groupBy { it.entry.value }.toSortedMap()
+        val rows = byName.map { (name, seen) ->
+            val wanted = seen.firstNotNullOfOrNull { it.wanted }?.toString() ?: "-"
+            val whole = seen.maxOf { it.whole }
+            listOf(name, wanted, "$whole", "${seen.sumOf { it.queued }}", "${seen.sumOf { it.inFlight }}")
         }
         return table(listOf("ENTRY", "WANTED", "WHOLE", "QUEUED", "IN FLIGHT"), rows)
     }
 
-    private fun findings(answer: StatusAnswer): String {
-        val rows = answer.findings.map {
+    private fun findings(daemons: List<StatusAnswer>): String {
+        val rows = daemons.flatMap { it.findings }.distinct().map {
             val since = TimelineText.time(it.sinceMilliseconds)
             listOf(it.entry.value, it.domain?.value ?: "-", "${it.whole} of ${it.wanted}", since, it.reason)
         }
         return if (rows.isEmpty()) "" else table(listOf("FINDING", "DOMAIN", "WHOLE", "SINCE", "REASON"), rows)
     }
+
+    private fun notes(unreachable: List<String>): String =
+        unreachable.joinToString("\n") { printable("no status of $it") }
 }
 
 internal class GroupsCommand : RemoteCommand("Lists the groups with one daemon's view of their health.") {
--- a/client/src/test/kotlin/boragering/client/ProgramTest.kt
+++ b/client/src/test/kotlin/boragering/client/ProgramTest.kt
@@ -3,7 +3,9 @@
 import boragering.core.AvailabilityZone
 import boragering.core.CatalogueAnswer
 import boragering.core.DaemonId
+import boragering.core.EntryName
 import boragering.core.GroupId
+import boragering.core.HealthFinding
 import boragering.core.HybridTime
 import boragering.core.PeersAnswer
 import boragering.core.Registration
@@ -38,7 +40,7 @@
             storeReachable = true,
             liveDaemons = emptyList(),
             entries = emptyList(),
-            findings = emptyList(),
+            findings = listOf(HealthFinding(null, EntryName("m"), 2, 1, "no spare instance of $name", 0)),
         ),
     )
 
@@ -55,6 +57,7 @@
                     val registrations = (addresses + "127.0.0.1:1").map { registration(it, it) }
                     reply(PeersAnswer.serializer(), PeersAnswer(registrations))
                 }
+                "/operator/status" -> status(name)
                 "/operator/requests/r-1" ->
                     reply(RequestAnswer.serializer(), RequestAnswer(RequestId("r-1"), events))
                 else -> reply(TimelineAnswer.serializer(), TimelineAnswer(DaemonId(name), events))
@@ -93,8 +96,9 @@
     describe("reading") {
         it("asks the next daemon when one is unreachable or not ready") {
             FakeDaemon { Reply("{}", 503) }.use { notReady ->
-                FakeDaemon { status("second") }.use { second ->
-                    val unreachable = listOf("status", "--daemon", "127.0.0.1:1", "--daemon", notReady.address)
+                FakeDaemon { reply(CatalogueAnswer.serializer(), CatalogueAnswer(4, "of second")) }.use { second ->
+                    val unreachable =
+                        listOf("catalogue", "show", "--daemon", "127.0.0.1:1", "--daemon", notReady.address)
                     val run = boragerctl(*unreachable.toTypedArray(), "--daemon", second.address)
                     run.exitCode shouldBe ExitCode.SUCCESS
                     run.out shouldContain "second"
@@ -103,6 +107,15 @@
             }
         }
 
+        it("shows the status and the findings of every daemon, and names the one that cannot be reached") {
+            fleet { a, _ ->
+                val run = boragerctl("status", "--daemon", a.address)
+                run.exitCode shouldBe ExitCode.SUCCESS
+                listOf("a  ", "b  ", "no spare instance of a", "no spare instance of b", "no status of 127.0.0.1:1")
+                    .forEach { run.out shouldContain it }
+            }
+        }
+
         it("ends when a daemon does not answer, and says what it waits for") {
             FakeDaemon { Reply(null) }.use { daemon ->
                 val run = boragerctl("status", "--daemon", daemon.address, "--timeout", "1500ms")
--- a/core/src/main/kotlin/boragering/core/DomainController.kt
+++ b/core/src/main/kotlin/boragering/core/DomainController.kt
@@ -74,7 +74,7 @@
     private val poller = InstancePoller(ports.targets, book, clock, settings.pollTimeout, settings.pollsAtOnce)
     private val planned = PlannedDomains(state)
     private val views = FleetViews(state, list)
-    private val summaries = SummarySender(ports, state, book, settings.holdersPerGroup)
+    private val summaries = SummarySender(ports, state, book, settings)
     private val holder = HolderPolling(state, book, poller, settings)
     private val context =
         PlannerContext(ports, state.divisions, book, DivisionWriter(ports.store, clock), settings.planning)
--- a/core/src/main/kotlin/boragering/core/DomainPlanner.kt
+++ b/core/src/main/kotlin/boragering/core/DomainPlanner.kt
@@ -146,9 +146,9 @@
         val now = clock.monotonic()
         context.ports.items.accept(DivisionDocument.item(result.division))
         plan.failedLoads.forEach { barred.start(it, now) }
-        plan.events.forEach {
-            timeline.record(TimelineEntry("division", "domain $domain: ${it.text}", group = it.group, entry = it.entry))
-        }
+        // The events themselves are kept with the division, and the time line shows them from there.
+        val text = "domain $domain: version ${result.division.version} with ${plan.events.size} new events"
+        timeline.record(TimelineEntry("division-written", text))
     }
 
     private suspend fun sendOrders(planned: List<InstanceOrder>, following: StoredDivision) {
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/GroupTransitions.kt
@@ -0,0 +1,26 @@
+package boragering.core
+
+/**
+ * Records on the time line when a group becomes whole and when it stops being whole, as the planner of its domain sees
+ * it. Used by one coroutine.
+ */
+internal class GroupTransitions(private val timeline: Timeline) {
+    private val whole = HashMap<GroupId, Boolean>()
+
+    /** Notes whether [group] is whole now. */
+    fun note(group: Group, isWhole: Boolean) {
+        val before = whole.put(group.id, isWhole) ?: false
+        if (before != isWhole) timeline.record(entry(group, isWhole))
+    }
+
+    /** Forgets the groups that are not among [groups]. */
+    fun retain(groups: Set<GroupId>) {
+        whole.keys.retainAll(groups)
+    }
+
+    private fun entry(group: Group, isWhole: Boolean): TimelineEntry {
+        val kind = if (isWhole) "group-whole" else "group-not-whole"
+        val text = "fencing number ${group.fence}: " + if (isWhole) "every member is ready" else "a member is missing"
+        return TimelineEntry(kind, text, group = group.id, entry = group.entry)
+    }
+}
--- a/core/src/main/kotlin/boragering/core/SummarySender.kt
+++ b/core/src/main/kotlin/boragering/core/SummarySender.kt
@@ -5,9 +5,10 @@
     private val ports: ControllerPorts,
     private val state: ControllerState,
     private val book: ReportBook,
-    private val holdersPerGroup: Int,
+    private val settings: ControllerSettings,
 ) {
     private val self get() = state.peers.self.daemon
+    private val transitions = GroupTransitions(ports.timeline)
 
     /** Sends an echo to the planner of each domain in which this daemon holds groups. */
     fun sendEchoes() {
@@ -22,6 +23,8 @@
         // The echoes are noted before ages are computed, so that a pause in between makes summaries older, not younger.
         val echoes = state.peers.live.associate { it.daemon to state.echoes.highest(it.daemon) }
         val byHolder = HashMap<DaemonId, MutableList<GroupSummary>>()
+        val groups = domains.flatMap { state.divisions.current()[it]?.groups.orEmpty() }
+        transitions.retain(groups.mapTo(HashSet()) { it.id })
         domains.forEach { domain ->
             state.divisions.current()[domain]?.groups.orEmpty().forEach { group ->
                 summarise(domain, group, list, byHolder)
@@ -40,8 +43,10 @@
     ) {
         val evidence = group.evidence(book::report) { list?.leaving(it) ?: false } ?: return
         state.health.observe(evidence)
-        val summary = evidence.summary(domain, ports.clock.monotonic())
-        state.peers.holders(group.id, holdersPerGroup)
+        val now = ports.clock.monotonic()
+        transitions.note(group, evidence.whole && now - evidence.at <= settings.planning.evidenceLimit)
+        val summary = evidence.summary(domain, now)
+        state.peers.holders(group.id, settings.holdersPerGroup)
             .filter { it.daemon != self }
             .forEach { byHolder.getOrPut(it.daemon) { ArrayList() } += summary }
     }
--- a/daemon/src/main/kotlin/boragering/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/Daemon.kt
@@ -58,9 +58,9 @@
     private val self =
         Registration(
             daemon = DaemonId("${settings.name}-${UUID.randomUUID().toString().take(ID_SUFFIX_LENGTH)}"),
-            peerAddress = settings.listen.peers.toString(),
-            operatorAddress = settings.listen.operators.toString(),
-            callerAddress = settings.listen.callers.toString(),
+            peerAddress = settings.advertise.peers.toString(),
+            operatorAddress = settings.advertise.operators.toString(),
+            callerAddress = settings.advertise.callers.toString(),
             availabilityZone = settings.availabilityZone,
             region = settings.region,
         )
--- a/daemon/src/main/kotlin/boragering/daemon/DaemonOperator.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/DaemonOperator.kt
@@ -65,13 +65,13 @@
     override fun groups(): GroupsAnswer = GroupsAnswer(sources.health.status())
 
     /** The daemon's own events and those that are kept with the divisions, which outlive the daemons. */
-    override fun timeline(sinceMilliseconds: Long): TimelineAnswer {
-        val query = TimelineQuery(sinceMilliseconds = sinceMilliseconds)
+    override fun timeline(query: TimelineQuery): TimelineAnswer {
         val kept =
             sources.divisions.current().values
                 .flatMap { division -> division.events.map { it.toTimelineEvent() } }
                 .filter(query::matches)
-        return TimelineAnswer(self.daemon, (sources.timeline.query(query) + kept).sortedBy { it.stamp })
+        val events = (sources.timeline.query(query) + kept).sortedBy { it.stamp }
+        return TimelineAnswer(self.daemon, events.takeLast(query.limit))
     }
 
     override fun request(id: RequestId): RequestAnswer =
@@ -79,8 +79,7 @@
 
     override fun peers(): PeersAnswer = PeersAnswer(sources.peers.live)
 
-    override fun catalogue(): CatalogueAnswer? =
-        sources.catalogue.current()?.let { CatalogueAnswer(it.revision, CatalogueText.of(it)) }
+    override fun catalogue(): CatalogueAnswer = CatalogueText.answer(sources.catalogue.current())
 
     override suspend fun history(): HistoryAnswer? = sources.writer.history().getOrNull()
 
--- a/daemon/src/main/kotlin/boragering/daemon/OperatorServer.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/OperatorServer.kt
@@ -2,7 +2,11 @@
 
 import boragering.core.ApplyRequest
 import boragering.core.ApplyResult
+import boragering.core.GroupId
+import boragering.core.InstanceId
 import boragering.core.RequestId
+import boragering.core.TimelineBuffer
+import boragering.core.TimelineQuery
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
@@ -41,7 +45,7 @@
             get(
                 "/operator/requests/{id}"
             ) { authorised { answer(service.request(RequestId(call.parameters["id"].orEmpty()))) } }
-            get("/operator/catalogue") { authorised { catalogue() } }
+            get("/operator/catalogue") { authorised { answer(service.catalogue()) } }
             get("/operator/catalogue/history") { authorised { history() } }
             post("/operator/catalogue") { authorised { apply() } }
         }
@@ -62,22 +66,21 @@
     }
 
     private suspend fun RoutingContext.timeline() {
-        val since = call.request.queryParameters["since"]
-        val milliseconds = if (since == null) 0L else since.toLongOrNull()
-        if (milliseconds == null) {
-            fail(HttpStatusCode.BadRequest, "since must be a number of milliseconds since the Unix epoch")
-        } else {
-            answer(service.timeline(milliseconds))
-        }
-    }
-
-    private suspend fun RoutingContext.catalogue() {
-        val catalogue = service.catalogue()
-        if (catalogue == null) {
-            fail(HttpStatusCode.ServiceUnavailable, "this daemon knows no catalogue")
-        } else {
-            answer(catalogue)
+        val parameters = call.request.queryParameters
+        val numbers = listOf("since", "limit").mapNotNull { parameters[it] }.map { it.toLongOrNull() }
+        if (numbers.any { it == null || it < 0 }) {
+            fail(HttpStatusCode.BadRequest, "since must be milliseconds since the Unix epoch, limit a number of events")
+            return
         }
+        val query =
+            TimelineQuery(
+                group = parameters["group"]?.let { GroupId(it) },
+                instance = parameters["instance"]?.let { InstanceId(it) },
+                request = parameters["request"]?.let { RequestId(it) },
+                sinceMilliseconds = parameters["since"]?.toLong(),
+                limit = parameters["limit"]?.toIntOrNull() ?: TimelineBuffer.CAPACITY,
+            )
+        answer(service.timeline(query))
     }
 
     private suspend fun RoutingContext.history() {
--- a/daemon/src/main/kotlin/boragering/daemon/OperatorService.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/OperatorService.kt
@@ -10,6 +10,7 @@
 import boragering.core.RequestId
 import boragering.core.StatusAnswer
 import boragering.core.TimelineAnswer
+import boragering.core.TimelineQuery
 
 /** What operators can ask of a daemon. */
 internal interface OperatorService {
@@ -19,8 +20,8 @@
     /** All groups with this daemon's view of their health. */
     fun groups(): GroupsAnswer
 
-    /** The events that this daemon holds from [sinceMilliseconds] on. */
-    fun timeline(sinceMilliseconds: Long): TimelineAnswer
+    /** The events that this daemon holds and that match [query]. */
+    fun timeline(query: TimelineQuery): TimelineAnswer
 
     /** The events of one request. */
     fun request(id: RequestId): RequestAnswer
@@ -28,8 +29,8 @@
     /** The live daemons. */
     fun peers(): PeersAnswer
 
-    /** The catalogue in force, `null` when there is none yet. */
-    fun catalogue(): CatalogueAnswer?
+    /** The catalogue in force; an empty one at revision 0 when there is none yet. */
+    fun catalogue(): CatalogueAnswer
 
     /** The accepted changes, `null` when the store cannot be read. */
     suspend fun history(): HistoryAnswer?
--- a/daemon/src/main/kotlin/boragering/daemon/Settings.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/Settings.kt
@@ -4,12 +4,16 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlin.time.Duration
 
-/** The daemon's settings. They have been checked; secrets are still references. */
+/**
+ * The daemon's settings. They have been checked; secrets are still references. [advertise] is where others reach the
+ * ports that the daemon opens at [listen].
+ */
 data class Settings(
     val name: String,
     val availabilityZone: AvailabilityZone,
     val region: String,
     val listen: Addresses,
+    val advertise: Addresses,
     val platform: PlatformSettings,
     val seeds: PersistentList<SocketAddress>,
     val peerSecret: SecretReference,
@@ -18,7 +22,7 @@
     val groups: GroupSettings,
 )
 
-/** The addresses that the daemon listens on and that others reach it at. */
+/** The addresses of the daemon's three ports. */
 data class Addresses(val callers: SocketAddress, val operators: SocketAddress, val peers: SocketAddress)
 
 /** An IP address or host name with a port. */
--- a/daemon/src/main/kotlin/boragering/daemon/SettingsReader.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/SettingsReader.kt
@@ -42,6 +42,7 @@
         val zone = root.required("availabilityZone", Values.text)
         val region = root.required("region", Values.text)
         val listen = root.child("listen")?.let(::addresses)
+        val advertise = if (root.has("advertise")) root.child("advertise")?.let { advertised(it, listen) } else listen
         val platform = root.child("platform")?.let(::platform)
         val peers = root.child("peers")
         val seeds = peers?.optional("seeds", emptyList<SocketAddress>().toPersistentList(), addressList)
@@ -51,13 +52,14 @@
         val limits = limits(if (root.has("limits")) root.child("limits") else null)
         val groups = groups(if (root.has("groups")) root.child("groups") else null)
         root.rejectUnknown()
-        val required = listOf(name, zone, region, listen, platform, seeds, peerSecret, operatorToken)
+        val required = listOf(name, zone, region, listen, advertise, platform, seeds, peerSecret, operatorToken)
         if (required.any { it == null }) return null
         return Settings(
             name = name!!,
             availabilityZone = AvailabilityZone(zone!!),
             region = region!!,
             listen = listen!!,
+            advertise = advertise!!,
             platform = platform!!,
             seeds = seeds!!,
             peerSecret = peerSecret!!,
@@ -75,6 +77,14 @@
         return if (callers == null || operators == null || peers == null) null else Addresses(callers, operators, peers)
     }
 
+    private fun advertised(reader: ObjectReader, listen: Addresses?): Addresses? {
+        val callers = reader.optional("callers", listen?.callers, address)
+        val operators = reader.optional("operators", listen?.operators, address)
+        val peers = reader.optional("peers", listen?.peers, address)
+        reader.rejectUnknown()
+        return if (callers == null || operators == null || peers == null) null else Addresses(callers, operators, peers)
+    }
+
     private fun platform(reader: ObjectReader): PlatformSettings? {
         val store = reader.required("store", baseUrl)
         val liveList = reader.required("liveList", baseUrl)
--- a/scenarios/src/test/kotlin/boragering/scenarios/FailureScenarioTest.kt
+++ b/scenarios/src/test/kotlin/boragering/scenarios/FailureScenarioTest.kt
@@ -96,7 +96,8 @@
                 view.awaitNotWhole(victim)
                 view.awaitWhole(DemoPlan.REPLICAS)
 
-                daemons[1].operators.peers().daemons.size shouldBe daemons.size - 1
+                // A daemon is lost about 8 s after it stopped to answer; the repair can be done before.
+                awaitTrue("the killed daemon is lost") { daemons[1].operators.peers().daemons.size == daemons.size - 1 }
                 val chat = ChatCall(DemoPlan.MODEL, userMessage("hello"), maxTokens = 4)
                 caller(daemons[1]).complete(chat).shouldBeInstanceOf<CallOutcome.Complete>()
             }
