--- /dev/null
+++ b/daemon/src/test/kotlin/boragering/daemon/SettingsReaderTest.kt
@@ -0,0 +1,60 @@
+package boragering.daemon
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldNotContain
+
+class SettingsReaderTest : DescribeSpec({
+    val listen = """{"callers": "127.0.0.1:1", "operators": "127.0.0.1:2", "peers": "127.0.0.1:3"}"""
+    val complete =
+        """
+        {
+          "name": "entry-1", "availabilityZone": "sapporo", "region": "dounai",
+          "listen": $listen,
+          "platform": {"store": "http://127.0.0.1:4", "liveList": "http://127.0.0.1:5"},
+          "peers": {"secretFile": "peer.secret"},
+          "operators": {"secretVariable": "OPERATOR_TOKEN"}
+        }
+        """.trimIndent()
+
+    fun paths(text: String): List<String> =
+        SettingsReader.read(text).fold({ findings -> findings.map { it.path } }, { emptyList() })
+
+    describe("complete settings") {
+        it("have the defaults for what is left out") {
+            val settings = checkNotNull(SettingsReader.read(complete).getOrNull())
+            settings.groups.holdersPerGroup shouldBe 6
+            settings.advertise shouldBe settings.listen
+            settings.limits.requestBody shouldBe 1024 * 1024
+        }
+
+        it("can advertise one port elsewhere, so that something can stand in between") {
+            val text = complete.replaceFirst("\"platform\"", "\"advertise\": {\"peers\": \"10.0.0.1:9\"}, \"platform\"")
+            val settings = checkNotNull(SettingsReader.read(text).getOrNull())
+            settings.advertise.peers shouldBe SocketAddress("10.0.0.1", 9)
+            settings.advertise.callers shouldBe settings.listen.callers
+        }
+    }
+
+    describe("faulty settings") {
+        it("are reported all at once, each with its path") {
+            val text =
+                complete
+                    .replace("\"127.0.0.1:2\"", "\"127.0.0.1\"")
+                    .replace("\"peer.secret\"", "\"peer.secret\", \"unknown\": 1")
+                    .replace("\"region\": \"dounai\",", "")
+                    .replace("\"liveList\"", "\"timeout\": 2, \"liveList\"")
+            paths(text) shouldContainExactlyInAnyOrder
+                listOf("region", "listen.operators", "platform.timeout", "peers.unknown")
+        }
+
+        it("never show a value, which may be a secret in the wrong place") {
+            val text = complete.replace(
+                "\"operators\": {\"secretVariable\": \"OPERATOR_TOKEN\"}",
+                "\"operators\": \"hidden\""
+            )
+            SettingsReader.read(text).leftOrNull().toString() shouldNotContain "hidden"
+        }
+    }
+})
