Remove compiler warnings from the adapters and from claims

Cause: a read-through found deprecated calls, an unneeded cast and a condition that the compiler knew to be constant.

Ruled out: suppressing the warnings.

--- a/adapters/src/main/kotlin/boragering/adapters/EventStream.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/EventStream.kt
@@ -2,7 +2,7 @@
 
 import boragering.core.AnswerPart
 import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.readUTF8Line
+import io.ktor.utils.io.readLineStrict
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
@@ -14,7 +14,7 @@
     suspend fun forEach(receive: suspend (AnswerPart.Event) -> Unit): Boolean {
         val data = StringBuilder()
         while (true) {
-            val line = channel.readUTF8Line(MAXIMUM_LINE_CHARACTERS) ?: return false
+            val line = channel.readLineStrict(MAXIMUM_LINE_BYTES) ?: return false
             when {
                 line.startsWith(DATA_FIELD) -> data.appendLineOf(line.removePrefix(DATA_FIELD).removePrefix(" "))
                 line.isEmpty() && data.isNotEmpty() -> {
@@ -35,7 +35,7 @@
     private companion object {
         const val DATA_FIELD = "data:"
         const val END_MARKER = "[DONE]"
-        const val MAXIMUM_LINE_CHARACTERS = 1024 * 1024
+        const val MAXIMUM_LINE_BYTES = 1024L * 1024
     }
 }
 
--- a/adapters/src/main/kotlin/boragering/adapters/GatewayClient.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/GatewayClient.kt
@@ -15,7 +15,7 @@
 import io.ktor.http.ContentType
 import io.ktor.http.contentType
 import io.ktor.http.isSuccess
-import io.ktor.utils.io.readUTF8Line
+import io.ktor.utils.io.readLine
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
@@ -59,7 +59,7 @@
                             setBody(json.encodeToString(request))
                         }.execute { response ->
                             val channel = response.bodyAsChannel()
-                            firstChanges { channel.readUTF8Line() }
+                            firstChanges { channel.readLine() }
                         }
                 }
             changes ?: persistentListOf()
--- a/adapters/src/test/kotlin/boragering/adapters/CannedServer.kt
+++ b/adapters/src/test/kotlin/boragering/adapters/CannedServer.kt
@@ -21,7 +21,7 @@
         socket.accept().use { connection ->
             val reader = connection.getInputStream().bufferedReader()
             requestLines += reader.readLine().orEmpty()
-            while (!reader.readLine().isNullOrEmpty()) Unit
+            generateSequence { reader.readLine() }.takeWhile { it.isNotEmpty() }.count()
             connection.getOutputStream().write(answer.encodeToByteArray())
             connection.getOutputStream().flush()
         }
--- a/core/src/main/kotlin/boragering/core/ClaimOperation.kt
+++ b/core/src/main/kotlin/boragering/core/ClaimOperation.kt
@@ -86,17 +86,18 @@
      */
     private fun close(claim: Claim, state: ClaimState): ClaimResult {
         val present = claims[claim.identity]
-        val missing = present == null || (present.state == ClaimState.NotRun && !present.sameAttempt(claim))
-        when {
-            missing -> put(closed(claim, state))
-            present?.sameAttempt(claim) == true && present.state == ClaimState.Pending -> put(closed(claim, state))
+        val open = when {
+            present == null -> true
+            present.sameAttempt(claim) -> present.state == ClaimState.Pending
+            else -> present.state == ClaimState.NotRun
         }
+        if (open) put(closed(claim, state))
         return ClaimResult.Written
     }
 
     private fun closed(claim: Claim, state: ClaimState): Claim {
-        val bodyFits = state !is ClaimState.Finished || size + state.variableSize <= SIZE_FOR_BODIES
-        val kept = if (bodyFits) state else (state as ClaimState.Finished).copy(body = null)
+        val tooLong = state is ClaimState.Finished && size + state.variableSize > SIZE_FOR_BODIES
+        val kept = if (tooLong) state.copy(body = null) else state
         val expiresAt = if (state == ClaimState.NotRun) now + NOT_RUN_KEPT_MILLISECONDS else claim.expiresAt
         return claim.copy(state = kept, expiresAt = minOf(expiresAt, claim.expiresAt))
     }
