--- a/scenarios/src/test/kotlin/boragering/scenarios/FailureScenarioTest.kt
+++ b/scenarios/src/test/kotlin/boragering/scenarios/FailureScenarioTest.kt
@@ -8,16 +8,11 @@
 import io.kotest.matchers.shouldNotBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.coroutines.async
-import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.isActive
-import kotlinx.coroutines.launch
 import kotlin.time.Duration.Companion.seconds
 
 /** Faults of the platform and of processes, with callers at work; the evidence of each run is checked. */
 class FailureScenarioTest : DescribeSpec({
-    fun booking(key: String) = ServiceCall(DemoPlan.SERVICE, "POST", "/orders", "{}", key)
-
     describe("a paused member that returns as if nothing had happened") {
         it("keeps its group from requests until it is whole again, and every answer is complete or visibly broken") {
             scenario {
@@ -144,28 +139,3 @@
 
 /** How long after the first sign of leaving a target may get new work. */
 private const val LEAVING_LIMIT_MILLISECONDS = 3_000
-
-private suspend fun scenario(plan: DeploymentPlan = DemoPlan.plan, test: suspend Deployment.() -> Unit) = plan.run {
-    test()
-    evidence().verify()
-}
-
-/** Repeats a booking at the first daemon until it is taken. */
-private suspend fun Deployment.awaitBooking(call: ServiceCall) {
-    await("the booking is taken") { caller(daemons[0]).send(call) as? CallOutcome.Complete }
-}
-
-/** Runs [action] while one caller at each daemon asks for one completion after the other. */
-private suspend fun Deployment.underLoad(action: suspend () -> Unit) = coroutineScope {
-    val callers = daemons.mapIndexed { index, daemon -> launch { ask(daemon, index) } }
-    action()
-    callers.forEach { it.cancelAndJoin() }
-}
-
-private suspend fun Deployment.ask(daemon: DaemonHandle, index: Int): Unit = coroutineScope {
-    var number = 0
-    while (isActive) {
-        val chat = ChatCall(DemoPlan.MODEL, userMessage("question $index/${number++}"), maxTokens = 8)
-        caller(daemon).complete(chat)
-    }
-}
