--- /dev/null
+++ b/measurements/src/main/kotlin/boragering/measurements/Probe.kt
@@ -0,0 +1,70 @@
+package boragering.measurements
+
+import java.lang.management.ManagementFactory
+
+/** Measures processor time of the calling thread and retained heap. */
+class Probe(private val repetitions: Int) {
+    private val threads = ManagementFactory.getThreadMXBean()
+
+    /** Keeps results of the measured code, so that the compiler cannot remove it. */
+    @Volatile
+    private var sink: Any? = null
+
+    /**
+     * Microseconds of the thread's processor time for one call of [action], one value for each repetition. Each
+     * repetition lasts at least 20 ms, since the operating system counts the time in steps.
+     */
+    fun microseconds(action: () -> Any?): List<Double> {
+        val warm = System.nanoTime() + WARM_UP_NANOSECONDS
+        var calls = 0
+        val began = threads.currentThreadCpuTime
+        while (calls < MINIMUM_CALLS || System.nanoTime() < warm) {
+            sink = action()
+            calls++
+        }
+        val each = (threads.currentThreadCpuTime - began) / calls
+        val batch = (REPETITION_NANOSECONDS / each.coerceAtLeast(1)).coerceIn(1, MAXIMUM_CALLS).toInt()
+        return List(repetitions) { timed(batch, action) / batch }
+    }
+
+    /** Microseconds of the thread's processor time for one call of [action] after [prepare], divided by [parts]. */
+    fun prepared(parts: Int, prepare: () -> (() -> Any?)): List<Double> {
+        repeat(MINIMUM_CALLS) { sink = prepare()() }
+        return List(repetitions) {
+            val action = prepare()
+            timed(1, action) / parts
+        }
+    }
+
+    /** Bytes of heap that the result of [build] retains. */
+    fun heap(build: () -> Any): List<Double> {
+        sink = build()
+        return List(repetitions) {
+            sink = null
+            val before = used()
+            sink = build()
+            (used() - before).toDouble()
+        }
+    }
+
+    private fun timed(calls: Int, action: () -> Any?): Double {
+        val began = threads.currentThreadCpuTime
+        repeat(calls) { sink = action() }
+        return (threads.currentThreadCpuTime - began) / NANOSECONDS
+    }
+
+    private fun used(): Long {
+        val memory = ManagementFactory.getMemoryMXBean()
+        repeat(COLLECTIONS) { memory.gc() }
+        return memory.heapMemoryUsage.used
+    }
+
+    private companion object {
+        const val NANOSECONDS = 1_000.0
+        const val WARM_UP_NANOSECONDS = 400_000_000L
+        const val REPETITION_NANOSECONDS = 20_000_000L
+        const val MINIMUM_CALLS = 3
+        const val MAXIMUM_CALLS = 100_000L
+        const val COLLECTIONS = 2
+    }
+}
