Measure catalogue, claims, requests and memory

Completes the subcommands of the measurements. The heap of a result was first seen as 0 bytes: the serial collector may leave dead objects in place in three of four full collections, so the probe now runs four, and keeps all results until the end.

--- a/measurements/src/main/kotlin/boragering/measurements/Commands.kt
+++ b/measurements/src/main/kotlin/boragering/measurements/Commands.kt
@@ -6,5 +6,9 @@
     val all: Map<String, Measurement> = linkedMapOf(
         "planning" to PlanningMeasurement(),
         "peers" to PeersMeasurement(),
+        "catalogue" to CatalogueMeasurement(),
+        "claims" to ClaimsMeasurement(),
+        "requests" to RequestsMeasurement(),
+        "memory" to MemoryMeasurement(),
     )
 }
--- a/measurements/src/main/kotlin/boragering/measurements/PeersMeasurement.kt
+++ b/measurements/src/main/kotlin/boragering/measurements/PeersMeasurement.kt
@@ -12,6 +12,8 @@
 import boragering.core.ItemDigest
 import boragering.core.PeerEnvelope
 import boragering.core.PeerMessage
+import boragering.core.Registration
+import kotlinx.serialization.json.Json
 
 /** Bytes of the frames between daemons, and the processor time to encode and decode them. */
 class PeersMeasurement : Measurement {
@@ -29,8 +31,13 @@
                 probe.microseconds { PeerWire.decode(body) }
             },
         )
+    } + Series.measure("registrations in the store", "bytes", "daemons", SIZES) {
+        listOf(List(it, Fixtures::registration).sumOf { one -> stored(one) }.toDouble())
     }
 
+    private fun stored(registration: Registration): Int =
+        Registration.key(registration.daemon).length + Json.encodeToString(registration).length
+
     private data class Kind(val name: String, val per: String, val build: (Int) -> PeerMessage)
 
     private companion object {
--- a/measurements/src/main/kotlin/boragering/measurements/PlanningMeasurement.kt
+++ b/measurements/src/main/kotlin/boragering/measurements/PlanningMeasurement.kt
@@ -61,6 +61,13 @@
             val text = listText(it)
             probe.microseconds { Json.decodeFromString<List<ListedInstance>>(text) }
         },
+        Series.measure("reports of polled instances, bodies", "bytes", "instances", DOMAINS) {
+            listOf(reportTexts(it).sumOf { text -> text.length }.toDouble())
+        },
+        Series.measure("reports of polled instances, decoding", MICROSECONDS, "instances", DOMAINS) {
+            val texts = reportTexts(it)
+            probe.microseconds { texts.forEach { text -> Json.decodeFromString<InstanceReport>(text) } }
+        },
     )
 
     private fun rankingSeries(probe: Probe): List<Series> = listOf(
@@ -74,6 +81,9 @@
     private fun listText(instances: Int) =
         Json.encodeToString(List(instances) { Fixtures.listed(it, Fixtures.domain(it / Fixtures.DOMAIN_SIZE)) })
 
+    private fun reportTexts(instances: Int): List<String> =
+        observations(division(instances, groupSize = 1)).values.map { Json.encodeToString(it.report) }
+
     private fun decodedFleet(instances: Int, groupSize: Int): Any =
         Fixtures.fleet(instances, groupSize).mapValues { DivisionDocument.decode(DivisionDocument.encode(it.value)) }
 
--- a/measurements/src/main/kotlin/boragering/measurements/Probe.kt
+++ b/measurements/src/main/kotlin/boragering/measurements/Probe.kt
@@ -1,6 +1,7 @@
 package boragering.measurements
 
 import java.lang.management.ManagementFactory
+import java.lang.ref.Reference
 
 /** Measures processor time of the calling thread and retained heap. */
 class Probe(private val repetitions: Int) {
@@ -29,22 +30,29 @@
 
     /** Microseconds of the thread's processor time for one call of [action] after [prepare], divided by [parts]. */
     fun prepared(parts: Int, prepare: () -> (() -> Any?)): List<Double> {
-        repeat(MINIMUM_CALLS) { sink = prepare()() }
+        val warm = System.nanoTime() + WARM_UP_NANOSECONDS
+        var calls = 0
+        while (calls++ < MINIMUM_CALLS || System.nanoTime() < warm) sink = prepare()()
         return List(repetitions) {
             val action = prepare()
             timed(1, action) / parts
         }
     }
 
-    /** Bytes of heap that the result of [build] retains. */
+    /**
+     * Bytes of heap that the result of [build] retains. All results are kept until the end, so that none of an earlier
+     * repetition is collected during a later one.
+     */
     fun heap(build: () -> Any): List<Double> {
-        sink = build()
-        return List(repetitions) {
-            sink = null
+        sink = null
+        val kept = arrayListOf(build())
+        val values = List(repetitions) {
             val before = used()
-            sink = build()
+            kept += build()
             (used() - before).toDouble()
         }
+        Reference.reachabilityFence(kept)
+        return values
     }
 
     private fun timed(calls: Int, action: () -> Any?): Double {
@@ -65,6 +73,8 @@
         const val REPETITION_NANOSECONDS = 20_000_000L
         const val MINIMUM_CALLS = 3
         const val MAXIMUM_CALLS = 100_000L
-        const val COLLECTIONS = 2
+
+        /** The serial collector may leave dead objects in place in three of four full collections. */
+        const val COLLECTIONS = 4
     }
 }
