Measure each claim repetition on a new shard

The warm-up sent requests to the shard that was measured, so its claims grew far beyond the stated size: 1,137 µs + 0.81 µs per claim was measured for one request, against 234 µs + 1.68 µs before the longer warm-up. Each repetition now fills a shard of its own.

--- a/measurements/src/main/kotlin/boragering/measurements/ClaimsMeasurement.kt
+++ b/measurements/src/main/kotlin/boragering/measurements/ClaimsMeasurement.kt
@@ -15,8 +15,10 @@
         },
         Series.measure("one non-repeatable request", "µs", "claims in the shard", CLAIMS) { claims ->
             runBlocking {
-                val shard = filled(claims, this)
+                val scope = this
+                // A new shard for each repetition, since each request adds a claim.
                 probe.prepared(REQUESTS) {
+                    val shard = runBlocking { filled(claims, scope) }
                     val action = { runBlocking { repeat(REQUESTS) { shard.send() } } }
                     action
                 }
