--- a/measurements/src/main/kotlin/boragering/measurements/MemoryMeasurement.kt
+++ b/measurements/src/main/kotlin/boragering/measurements/MemoryMeasurement.kt
@@ -9,10 +9,12 @@
 import boragering.core.HybridClock
 import boragering.core.Item
 import boragering.core.ItemReplica
+import boragering.core.ListedInstance
 import boragering.core.RequestId
 import boragering.core.Timeline
 import boragering.core.TimelineBuffer
 import boragering.core.TimelineEntry
+import kotlinx.serialization.json.Json
 
 /** Heap of what every daemon keeps. */
 class MemoryMeasurement : Measurement {
@@ -30,6 +32,10 @@
             Series.measure("items of daemon records", "bytes", "daemons", DAEMONS) { daemons ->
                 probe.heap { records(daemons) }
             },
+            Series.measure("decoded live list", "bytes", "instances", FLEETS) { instances ->
+                val text = Json.encodeToString(listed(instances))
+                probe.heap { Json.decodeFromString<List<ListedInstance>>(text) }
+            },
             Series.measure("timeline", "bytes", "events", EVENTS) { events -> probe.heap { timeline(events) } },
         )
 
@@ -43,6 +49,9 @@
         return items to replica
     }
 
+    private fun listed(instances: Int) =
+        List(instances) { Fixtures.listed(it, Fixtures.domain(it / Fixtures.DOMAIN_SIZE)) }
+
     private fun records(daemons: Int): Any {
         val items = ItemReplica(Fixtures.clock)
         repeat(daemons) {
--- a/measurements/src/main/kotlin/boragering/measurements/PeersMeasurement.kt
+++ b/measurements/src/main/kotlin/boragering/measurements/PeersMeasurement.kt
@@ -31,6 +31,9 @@
                 probe.microseconds { PeerWire.decode(body) }
             },
         )
+    } + Series.measure("hash of all items for a comparison", "µs", "items", SIZES) {
+        val items = List(it, ::record)
+        probe.microseconds { ItemDigest.summary(items) }
     } + Series.measure("registrations in the store", "bytes", "daemons", SIZES) {
         listOf(List(it, Fixtures::registration).sumOf { one -> stored(one) }.toDouble())
     }
--- a/measurements/src/main/kotlin/boragering/measurements/PlanningMeasurement.kt
+++ b/measurements/src/main/kotlin/boragering/measurements/PlanningMeasurement.kt
@@ -44,6 +44,11 @@
                     val counted = fleet.count()
                     probe.microseconds { Distribution.of(fleet.catalogue, counted) }
                 },
+                Series.measure("distribution of a whole fleet, size $groupSize", MICROSECONDS, "instances", FLEETS) {
+                    val fleet = FleetFixture(it, groupSize)
+                    val counted = fleet.count()
+                    probe.microseconds { Distribution.of(fleet.catalogue, counted) }
+                },
                 Series.measure("division document, groups of $groupSize", "bytes", "instances in the domain", DOMAINS) {
                     listOf(DivisionDocument.encode(division(it, groupSize)).toByteArray().size.toDouble())
                 },
