Let every daemon hold every group with up to sixteen daemons

Cause: a group was held by 6 daemons, and today there are 6 to 9.

Ruled out: choosing holders by fabric domain, which leaves the same gap; the planner telling every daemon at any size, which does not fit 16 KB/s.

By the measured sizes (133 B per group and frames of 115 B) a planner of 12 groups sends 8 holders 14 KB/s.

Conclusion: right for today's sizes.

--- a/core/src/main/kotlin/boragering/core/DomainController.kt
+++ b/core/src/main/kotlin/boragering/core/DomainController.kt
@@ -50,12 +50,11 @@
     val echoInterval: Duration = 500.milliseconds,
     val holderPollAfter: Duration = 1.9.seconds,
     val holderInterval: Duration = 250.milliseconds,
-    val holdersPerGroup: Int = DEFAULT_HOLDERS,
+    val holdersPerGroup: Int = HealthSettings.DEFAULT_HOLDERS,
     val planning: PlanningSettings = PlanningSettings(),
 ) {
     private companion object {
         const val DEFAULT_POLLS = 128
-        const val DEFAULT_HOLDERS = 6
     }
 }
 
--- a/core/src/main/kotlin/boragering/core/GroupHealth.kt
+++ b/core/src/main/kotlin/boragering/core/GroupHealth.kt
@@ -11,8 +11,10 @@
     val leavingMargin: Duration = 1.seconds,
     val holdersPerGroup: Int = DEFAULT_HOLDERS,
 ) {
-    private companion object {
-        const val DEFAULT_HOLDERS = 6
+    /** Defaults of the limits. */
+    companion object {
+        /** With up to this many daemons every daemon holds every group, so that each of them can serve each entry. */
+        const val DEFAULT_HOLDERS = 16
     }
 }
 
--- a/daemon/src/main/kotlin/boragering/daemon/SettingsReader.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/SettingsReader.kt
@@ -5,6 +5,7 @@
 import arrow.core.right
 import boragering.core.AvailabilityZone
 import boragering.core.Finding
+import boragering.core.HealthSettings
 import boragering.core.ObjectReader
 import boragering.core.ValueReader
 import boragering.core.Values
@@ -24,7 +25,7 @@
     private const val MAXIMUM_REQUESTS = 100_000
     private const val DEFAULT_REQUESTS = 4_096
     private const val MAXIMUM_HOLDERS = 100
-    private const val DEFAULT_HOLDERS = 6
+    private const val DEFAULT_HOLDERS = HealthSettings.DEFAULT_HOLDERS
     private const val MAXIMUM_LOADS = 1_000
     private const val DEFAULT_LOADS = 4
     private val DEFAULT_STORE_TIMEOUT = 2.seconds
--- a/daemon/src/test/kotlin/boragering/daemon/SettingsReaderTest.kt
+++ b/daemon/src/test/kotlin/boragering/daemon/SettingsReaderTest.kt
@@ -24,7 +24,7 @@
     describe("complete settings") {
         it("have the defaults for what is left out") {
             val settings = checkNotNull(SettingsReader.read(complete).getOrNull())
-            settings.groups.holdersPerGroup shouldBe 6
+            settings.groups.holdersPerGroup shouldBe 16
             settings.advertise shouldBe settings.listen
             settings.limits.requestBody shouldBe 1024 * 1024
         }
