--- a/scenarios/src/main/kotlin/boragering/scenarios/Deployment.kt
+++ b/scenarios/src/main/kotlin/boragering/scenarios/Deployment.kt
@@ -54,6 +54,9 @@
     fun caller(daemon: DaemonHandle, organisation: String = plan.organisations.first()): Caller =
         Caller(launcher.client.http, daemon.callers, secrets.organisations.getValue(organisation).value, calls)
 
+    /** The token that callers of [organisation] present. */
+    fun token(organisation: String): String = secrets.organisations.getValue(organisation).value
+
     /** The catalogue of the plan, with [entries] instead of the plan's. */
     fun catalogue(entries: List<EntryDocument> = plan.entries): String {
         val organisations = secrets.organisations.map { (name, token) ->
