Compare selection policies under load

The daemon always placed requests by its default policy, so that it could only be compared with others in the core's tests with a fake clock. The setting requests.selection names one of random, round-robin, least-in-flight and power-of-two, the default; the load program runs one workload with one policy, or with two in one go, writes the figures as a table and as JSON, and counts the daemons' processor time less their idle use.

Two separate runs were ruled out for the added time, because other work on the machine changes between them.

--- a/daemon/src/main/kotlin/boragering/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/Daemon.kt
@@ -130,7 +130,7 @@
             metrics = RequestCounters(registry),
         )
     private val claims = ClaimLedger(requestPorts, scope)
-    private val admission = Admission(requestPorts)
+    private val admission = Admission(requestPorts, settings.requests.selection)
     private val executor = RequestExecutor(requestPorts, claims, admission)
     private val gate = RequestGate(settings.limits.concurrentRequests) { ready }
     private val servers =
--- a/daemon/src/main/kotlin/boragering/daemon/Settings.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/Settings.kt
@@ -1,6 +1,7 @@
 package boragering.daemon
 
 import boragering.core.AvailabilityZone
+import boragering.core.ReplicaSelection
 import kotlinx.collections.immutable.PersistentList
 import kotlin.time.Duration
 
@@ -16,6 +17,7 @@
     val operatorToken: SecretReference,
     val limits: LimitSettings,
     val groups: GroupSettings,
+    val requests: RequestSettings,
 )
 
 /** The addresses that the daemon listens on and that others reach it at. */
@@ -35,6 +37,9 @@
 /** How groups are watched and formed. */
 data class GroupSettings(val pollInterval: Duration, val holdersPerGroup: Int, val loadsAtOnce: Int)
 
+/** How requests are placed. Policies other than the default exist for comparison. */
+data class RequestSettings(val selection: ReplicaSelection)
+
 /** Where a secret is read from. The secret itself is never part of the settings. */
 sealed interface SecretReference {
     /** The content of a file, without surrounding white space. */
--- a/daemon/src/main/kotlin/boragering/daemon/SettingsReader.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/SettingsReader.kt
@@ -6,6 +6,7 @@
 import boragering.core.AvailabilityZone
 import boragering.core.Finding
 import boragering.core.ObjectReader
+import boragering.core.ReplicaSelection
 import boragering.core.ValueReader
 import boragering.core.Values
 import kotlinx.collections.immutable.PersistentList
@@ -33,6 +34,13 @@
     private val POLL_INTERVALS = 100.milliseconds..1.seconds
     private val STORE_TIMEOUTS = 100.milliseconds..30.seconds
     private val DRAIN_TIMES = 1.seconds..60.minutes
+    private val SELECTIONS: Map<String, ReplicaSelection> =
+        mapOf(
+            "random" to ReplicaSelection.UniformRandom,
+            "round-robin" to ReplicaSelection.RoundRobin,
+            "least-in-flight" to ReplicaSelection.LeastInFlight,
+            "power-of-two" to ReplicaSelection.PowerOfTwoChoices,
+        )
 
     /** Reads [text]. */
     fun read(text: String): Either<List<Finding>, Settings> = ObjectReader.parse(text, ::settings)
@@ -50,6 +58,7 @@
         peers?.rejectUnknown()
         val limits = limits(if (root.has("limits")) root.child("limits") else null)
         val groups = groups(if (root.has("groups")) root.child("groups") else null)
+        val requests = requests(if (root.has("requests")) root.child("requests") else null)
         root.rejectUnknown()
         val required = listOf(name, zone, region, listen, platform, seeds, peerSecret, operatorToken)
         if (required.any { it == null }) return null
@@ -64,6 +73,7 @@
             operatorToken = operatorToken!!,
             limits = limits,
             groups = groups,
+            requests = requests,
         )
     }
 
@@ -100,6 +110,13 @@
         return GroupSettings(interval ?: DEFAULT_POLL_INTERVAL, holders ?: DEFAULT_HOLDERS, loads ?: DEFAULT_LOADS)
     }
 
+    private fun requests(reader: ObjectReader?): RequestSettings {
+        val default: ReplicaSelection = ReplicaSelection.PowerOfTwoChoices
+        val selection = reader?.optional("selection", default, Values.choice(SELECTIONS))
+        reader?.rejectUnknown()
+        return RequestSettings(selection ?: default)
+    }
+
     private fun secretOnly(reader: ObjectReader): SecretReference? = secret(reader).also { reader.rejectUnknown() }
 
     private fun secret(reader: ObjectReader): SecretReference? {
--- a/load/src/main/kotlin/boragering/load/ChatRequest.kt
+++ b/load/src/main/kotlin/boragering/load/ChatRequest.kt
@@ -15,13 +15,17 @@
 import kotlin.time.Duration
 import kotlin.time.TimeMark
 
-/** One measured request. Times are counted from the intended start; [firstToken] is `null` without a token. */
+/**
+ * One measured request. Times are counted from the intended start; [firstToken] is `null` without a token. [direct]
+ * requests did not pass a daemon.
+ */
 data class Sample(
     val arrival: Arrival,
     val firstToken: Duration?,
     val end: Duration,
     val status: Int,
     val complete: Boolean,
+    val direct: Boolean = false,
 )
 
 /** Where a completion is sent and what it says. */
--- a/load/src/main/kotlin/boragering/load/LoadPlan.kt
+++ b/load/src/main/kotlin/boragering/load/LoadPlan.kt
@@ -4,6 +4,7 @@
 import boragering.scenarios.DeploymentPlan
 import boragering.scenarios.EntryDocument
 import boragering.scenarios.LimitsDocument
+import boragering.scenarios.RequestSettings
 import boragering.scenarios.deployment
 
 private const val QUEUE_LENGTH = 1024
@@ -11,8 +12,8 @@
 /** High enough that no organisation is ever limited: these runs measure placement and queues. */
 private const val UNLIMITED_RATE = 10_000
 
-/** The deployment that [workload] runs against. */
-internal fun loadPlan(workload: Workload): DeploymentPlan = with(workload.deployment) {
+/** The deployment that [workload] runs against; its daemons place requests by the policy [selection]. */
+internal fun loadPlan(workload: Workload, selection: String): DeploymentPlan = with(workload.deployment) {
     deployment {
         region = this@with.region
         workload.organisations.forEach { organisation(it.name) }
@@ -26,7 +27,9 @@
             option("token-time", tokenTime)
             option("report-lag", reportLag)
         }
-        zones.forEachIndexed { index, zone -> daemon("entry-${index + 1}", zone) }
+        zones.forEachIndexed { index, zone ->
+            daemon("entry-${index + 1}", zone) { settings { copy(requests = RequestSettings(selection)) } }
+        }
     }
 }
 
--- a/load/src/main/kotlin/boragering/load/LoadSummary.kt
+++ b/load/src/main/kotlin/boragering/load/LoadSummary.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.Serializable
 import org.HdrHistogram.Histogram
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Quantiles of a time in milliseconds. */
 @Serializable
@@ -32,6 +33,7 @@
 @Serializable
 data class LoadSummary(
     val workload: String,
+    val selection: String,
     val offered: Int,
     val answered: Int,
     val refused: Int,
@@ -43,6 +45,7 @@
     val capacityPerSecond: Double,
     val shortFirstToken: Quantiles,
     val longFirstToken: Quantiles,
+    val processorMillisecondsPerRequest: Double,
 ) {
     /** The part of the answerable requests that were answered in time. */
     val share: Double get() = answeredInTime / answerable
@@ -51,8 +54,9 @@
         private val target = Duration.parse("820ms")
         private const val SUCCESS = 200
 
-        /** Sums up [samples] of a run of [workload]. */
-        fun of(workload: Workload, samples: List<Sample>): LoadSummary {
+        /** Sums up the [result] of a run of [workload] with the policy [selection]. */
+        internal fun of(workload: Workload, selection: String, result: RunResult): LoadSummary {
+            val samples = result.samples.filterNot { it.direct }
             val measured = samples.filter { it.arrival.measured }
             val seconds = workload.phases.filter { it.measured }.sumOf { it.seconds }
             val answered = measured.filter { it.complete }
@@ -60,6 +64,7 @@
             fun firstTokens(long: Boolean) = answered.filter { it.arrival.long == long }.mapNotNull { it.firstToken }
             return LoadSummary(
                 workload.name,
+                selection,
                 measured.size,
                 answered.size,
                 refused = measured.count { it.status != 0 && it.status != SUCCESS },
@@ -71,6 +76,7 @@
                 workload.capacity,
                 Quantiles.of(firstTokens(long = false)),
                 Quantiles.of(firstTokens(long = true)),
+                result.processorTime / 1.milliseconds / samples.size,
             )
         }
     }
--- a/load/src/main/kotlin/boragering/load/Main.kt
+++ b/load/src/main/kotlin/boragering/load/Main.kt
@@ -1,8 +1,10 @@
 package boragering.load
 
 import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.Json
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
+import kotlin.io.path.writeText
 import kotlin.system.exitProcess
 
 /** Runs a workload; exit code 2 for wrong options or a wrong workload file. */
@@ -13,7 +15,8 @@
     try {
         parser.parseArgument(arguments.toList())
         val workload = options.read()
-        println(table(LoadSummary.of(workload, runBlocking { LoadRun(workload).run() })))
+        val summaries = options.selections.map { measure(workload, it, options.halfDirect) }
+        options.json?.writeText(json.encodeToString(summaries))
     } catch (wrong: CmdLineException) {
         fail(parser, wrong)
     } catch (wrong: IllegalArgumentException) {
@@ -22,6 +25,17 @@
     exitProcess(0)
 }
 
+private fun measure(workload: Workload, selection: String, halfDirect: Boolean): LoadSummary {
+    val result = runBlocking { LoadRun(workload, selection, halfDirect).run() }
+    val summary = LoadSummary.of(workload, selection, result)
+    println(table(summary))
+    if (halfDirect) println(addedTime(result.samples))
+    println()
+    return summary
+}
+
+private val json = Json { prettyPrint = true }
+
 private fun fail(parser: CmdLineParser, wrong: Exception) {
     System.err.println(wrong.message)
     parser.printUsage(System.err)
--- a/scenarios/src/main/kotlin/boragering/scenarios/DaemonSettings.kt
+++ b/scenarios/src/main/kotlin/boragering/scenarios/DaemonSettings.kt
@@ -16,6 +16,7 @@
     val operators: OperatorSettings,
     val limits: LimitSettings? = null,
     val groups: GroupSettings? = null,
+    val requests: RequestSettings? = null,
 )
 
 /** The addresses that a daemon binds, each `host:port`. */
@@ -54,3 +55,7 @@
     val holdersPerGroup: Int? = null,
     val loadsAtOnce: Int? = null,
 )
+
+/** How a daemon places requests; `null` leaves the daemon's default. */
+@Serializable
+data class RequestSettings(val selection: String? = null)
