--- a/load/src/main/kotlin/boragering/load/LoadOptions.kt
+++ b/load/src/main/kotlin/boragering/load/LoadOptions.kt
@@ -26,6 +26,9 @@
     @field:Option(name = "--json", usage = "file for the summaries as JSON")
     var json: Path? = null
 
+    @field:Option(name = "--html", usage = "file for a page with first-token times over the run")
+    var html: Path? = null
+
     /** The policies to run, in order; a wrong name is an error before anything starts. */
     val selections: List<String>
         get() = listOfNotNull(selection, against).onEach {
--- a/load/src/main/kotlin/boragering/load/Main.kt
+++ b/load/src/main/kotlin/boragering/load/Main.kt
@@ -15,8 +15,9 @@
     try {
         parser.parseArgument(arguments.toList())
         val workload = options.read()
-        val summaries = options.selections.map { measure(workload, it, options.halfDirect) }
-        options.json?.writeText(json.encodeToString(summaries))
+        val runs = options.selections.map { measure(workload, it, options.halfDirect) }
+        options.json?.writeText(json.encodeToString(runs.map { it.summary }))
+        options.html?.writeText(LoadPage(workload, runs).html())
     } catch (wrong: CmdLineException) {
         fail(parser, wrong)
     } catch (wrong: IllegalArgumentException) {
@@ -25,13 +26,13 @@
     exitProcess(0)
 }
 
-private fun measure(workload: Workload, selection: String, halfDirect: Boolean): LoadSummary {
+private fun measure(workload: Workload, selection: String, halfDirect: Boolean): PageRun {
     val result = runBlocking { LoadRun(workload, selection, halfDirect).run() }
     val summary = LoadSummary.of(workload, selection, result)
     println(table(summary))
     if (halfDirect) println(addedTime(result.samples))
     println()
-    return summary
+    return PageRun(summary, result.samples)
 }
 
 private val json = Json { prettyPrint = true }
--- a/load/src/main/kotlin/boragering/load/SummaryTable.kt
+++ b/load/src/main/kotlin/boragering/load/SummaryTable.kt
@@ -17,7 +17,7 @@
         "first token, short" to line(shortFirstToken),
         "first token, long" to line(longFirstToken),
         "processor time of daemons" to "%.2f ms per request".format(Locale.ROOT, processorMillisecondsPerRequest),
-    ).joinToString("\n") { (name, value) -> "%-28s%s".format(Locale.ROOT, name, value) }
+    ).joinToString("\n") { (name, value) -> "%-29s%s".format(Locale.ROOT, name, value) }
 }
 
 /** What passing a daemon adds, from [samples] of which half went straight to an engine. */
@@ -30,7 +30,7 @@
     val names = listOf("first token", "whole answer")
     return names.zip(rows(direct = false).zip(rows(direct = true))).joinToString("\n") { (name, pair) ->
         val (through, direct) = pair
-        "%-28s%s\n%-28s%s\n%-28smedian %.2f ms, 99%% %.2f ms".format(
+        "%-29s%s\n%-29s%s\n%-29smedian %.2f ms, 99%% %.2f ms".format(
             Locale.ROOT,
             "$name, through daemon",
             line(through),
