--- a/core/src/main/kotlin/boragering/core/AdmissionPolicy.kt
+++ b/core/src/main/kotlin/boragering/core/AdmissionPolicy.kt
@@ -20,7 +20,7 @@
 
     /** The share of all slots that this daemon's long requests may use; the daemons that hold a group divide it. */
     fun longShare(now: Duration): Double =
-        lengths.longShare(now) / ports.peers.live.size.coerceIn(1, HOLDERS_PER_GROUP)
+        lengths.longShare(now) / ports.peers.live.size.coerceIn(1, HealthSettings.DEFAULT_HOLDERS)
 
     /** Why [waiter] cannot wait; `null` when it can, possibly because another request gave way to it. */
     fun refusal(waiter: Waiter, running: Collection<Slot>): Problem? {
@@ -57,9 +57,4 @@
         val limit = share(waiter.plan.entry.limits.concurrency)
         return estimate.of(waiter, running, limit, longShare(ports.clock.monotonic()))
     }
-
-    private companion object {
-        /** At most this many daemons send requests to one group. */
-        const val HOLDERS_PER_GROUP = 6
-    }
 }
--- a/core/src/test/kotlin/boragering/core/GroupHealthTest.kt
+++ b/core/src/test/kotlin/boragering/core/GroupHealthTest.kt
@@ -170,6 +170,6 @@
     private companion object {
         val DOMAIN = FabricDomain("f1")
         const val DAEMONS = 20
-        const val HOLDERS = 6
+        const val HOLDERS = HealthSettings.DEFAULT_HOLDERS
     }
 }
