Read optional settings without assertions on null

Cause: a read-through of the settings reader found nine '!!' behind a list of null checks, and a parameter that was suppressed as unused.

Ruled out: nothing; Arrow's nullable block says the same.

Before and after: the same behaviour; the tests of settings and of the interface for callers pass.

Conclusion: shorter, and a setting cannot be forgotten in the list.

--- a/daemon/src/main/kotlin/boragering/daemon/CallerServer.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/CallerServer.kt
@@ -46,7 +46,7 @@
         application.install(HttpRequestLifecycle) { cancelCallOnClose = true }
         application.routing {
             post(COMPLETIONS_PATH) { serve { body -> completion(body) } }
-            route("$SERVICES_PATH/{entry}/{path...}") { handle { serve { body -> serviceCall(body) } } }
+            route("$SERVICES_PATH/{entry}/{path...}") { handle { serve { serviceCall() } } }
             route("{path...}") {
                 handle {
                     val detail = "there is no resource ${call.request.path()}"
@@ -126,7 +126,7 @@
         }
     }
 
-    private fun RoutingContext.serviceCall(@Suppress("UNUSED_PARAMETER") body: Bytes): Description {
+    private fun RoutingContext.serviceCall(): Description {
         val entry = call.parameters["entry"].orEmpty()
         val path = call.request.uri.removePrefix("$SERVICES_PATH/$entry")
         return Description.Call(EntryName(entry), path, null)
--- a/daemon/src/main/kotlin/boragering/daemon/SettingsReader.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/SettingsReader.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import arrow.core.left
+import arrow.core.raise.nullable
 import arrow.core.right
 import boragering.core.AvailabilityZone
 import boragering.core.Finding
@@ -62,22 +63,22 @@
         val groups = groups(if (root.has("groups")) root.child("groups") else null)
         val requests = requests(if (root.has("requests")) root.child("requests") else null)
         root.rejectUnknown()
-        val required = listOf(name, zone, region, listen, advertise, platform, seeds, peerSecret, operatorToken)
-        if (required.any { it == null }) return null
-        return Settings(
-            name = name!!,
-            availabilityZone = AvailabilityZone(zone!!),
-            region = region!!,
-            listen = listen!!,
-            advertise = advertise!!,
-            platform = platform!!,
-            seeds = seeds!!,
-            peerSecret = peerSecret!!,
-            operatorToken = operatorToken!!,
-            limits = limits,
-            groups = groups,
-            requests = requests,
-        )
+        return nullable {
+            Settings(
+                name = name.bind(),
+                availabilityZone = AvailabilityZone(zone.bind()),
+                region = region.bind(),
+                listen = listen.bind(),
+                advertise = advertise.bind(),
+                platform = platform.bind(),
+                seeds = seeds.bind(),
+                peerSecret = peerSecret.bind(),
+                operatorToken = operatorToken.bind(),
+                limits = limits,
+                groups = groups,
+                requests = requests,
+            )
+        }
     }
 
     private fun addresses(reader: ObjectReader): Addresses? {
@@ -85,7 +86,7 @@
         val operators = reader.required("operators", address)
         val peers = reader.required("peers", address)
         reader.rejectUnknown()
-        return if (callers == null || operators == null || peers == null) null else Addresses(callers, operators, peers)
+        return nullable { Addresses(callers.bind(), operators.bind(), peers.bind()) }
     }
 
     private fun advertised(reader: ObjectReader, listen: Addresses?): Addresses? {
@@ -93,7 +94,7 @@
         val operators = reader.optional("operators", listen?.operators, address)
         val peers = reader.optional("peers", listen?.peers, address)
         reader.rejectUnknown()
-        return if (callers == null || operators == null || peers == null) null else Addresses(callers, operators, peers)
+        return nullable { Addresses(callers.bind(), operators.bind(), peers.bind()) }
     }
 
     private fun platform(reader: ObjectReader): PlatformSettings? {
@@ -101,7 +102,7 @@
         val liveList = reader.required("liveList", baseUrl)
         val timeout = reader.optional("timeout", DEFAULT_STORE_TIMEOUT, Values.duration(STORE_TIMEOUTS))
         reader.rejectUnknown()
-        return if (store == null || liveList == null) null else PlatformSettings(store, liveList, timeout)
+        return nullable { PlatformSettings(store.bind(), liveList.bind(), timeout) }
     }
 
     private fun limits(reader: ObjectReader?): LimitSettings {
