List the reasons of refusals in the load program

Cause: urgent requests were lost at the peak and nothing said why.

Ruled out: reading them from the daemons' time lines after the run, which end with the daemons.

Before: a number of lost urgent requests. After: each refused request is counted by urgency, length and explanation.

--- a/load/src/main/kotlin/boragering/load/ChatRequest.kt
+++ b/load/src/main/kotlin/boragering/load/ChatRequest.kt
@@ -7,6 +7,7 @@
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.bodyAsChannel
+import io.ktor.client.statement.bodyAsText
 import io.ktor.http.ContentType
 import io.ktor.http.contentType
 import io.ktor.http.isSuccess
@@ -17,7 +18,7 @@
 
 /**
  * One measured request. Times are counted from the intended start; [firstToken] is `null` without a token. [direct]
- * requests did not pass a daemon.
+ * requests did not pass a daemon. [refusal] is the explanation in a refused request's problem, without its numbers.
  */
 data class Sample(
     val arrival: Arrival,
@@ -26,6 +27,7 @@
     val status: Int,
     val complete: Boolean,
     val direct: Boolean = false,
+    val refusal: String? = null,
 )
 
 /** Where a completion is sent and what it says. */
@@ -40,6 +42,7 @@
         var firstToken: Duration? = null
         var status = 0
         var complete = false
+        var refusal: String? = null
         try {
             val call = http.preparePost("http://${request.address}/v1/chat/completions") {
                 request.token?.let(::bearerAuth)
@@ -49,14 +52,21 @@
             }
             call.execute { response ->
                 status = response.status.value
-                if (response.status.isSuccess()) complete = read(response) { firstToken = intended.elapsedNow() }
+                if (response.status.isSuccess()) {
+                    complete = read(response) { firstToken = intended.elapsedNow() }
+                } else {
+                    refusal = explanation(response.bodyAsText())
+                }
             }
         } catch (_: IOException) {
             complete = false
         }
-        return Sample(arrival, firstToken, intended.elapsedNow(), status, complete)
+        return Sample(arrival, firstToken, intended.elapsedNow(), status, complete, refusal = refusal)
     }
 
+    private fun explanation(problem: String): String =
+        DETAIL.find(problem)?.groupValues?.get(1)?.replace(NUMBER, "N") ?: "no explanation"
+
     /** Whether the end marker came; [first] is called at the first data line. */
     private suspend fun read(response: HttpResponse, first: () -> Unit): Boolean {
         val lines = response.bodyAsChannel()
@@ -79,5 +89,7 @@
     private companion object {
         const val DATA = "data: "
         const val END = "data: [DONE]"
+        val DETAIL = Regex("\"detail\":\"([^\"]*)\"")
+        val NUMBER = Regex("[0-9]+(\\.[0-9]+)?(ms|us|s)?")
     }
 }
--- a/load/src/main/kotlin/boragering/load/LoadSummary.kt
+++ b/load/src/main/kotlin/boragering/load/LoadSummary.kt
@@ -42,6 +42,7 @@
     val answerable: Double,
     val urgentOffered: Int,
     val urgentLost: Int,
+    val refusals: Map<String, Int>,
     val capacityPerSecond: Double,
     val shortFirstToken: Quantiles,
     val longFirstToken: Quantiles,
@@ -54,6 +55,12 @@
         private val target = Duration.parse("820ms")
         private const val SUCCESS = 200
 
+        private fun refusal(sample: Sample): String? = sample.refusal?.let {
+            val urgency = if (sample.arrival.urgent) "urgent" else "normal"
+            val length = if (sample.arrival.long) "long" else "short"
+            "$urgency, $length: $it"
+        }
+
         /** Sums up the [result] of a run of [workload] with the policy [selection]. */
         internal fun of(workload: Workload, selection: String, result: RunResult): LoadSummary {
             val samples = result.samples.filterNot { it.direct }
@@ -73,6 +80,7 @@
                 answerable = minOf(measured.size.toDouble(), workload.capacity * seconds),
                 urgent.size,
                 urgentLost = urgent.count { !it.complete },
+                refusals = measured.mapNotNull(::refusal).groupingBy { it }.eachCount(),
                 workload.capacity,
                 Quantiles.of(firstTokens(long = false)),
                 Quantiles.of(firstTokens(long = true)),
--- a/load/src/main/kotlin/boragering/load/SummaryTable.kt
+++ b/load/src/main/kotlin/boragering/load/SummaryTable.kt
@@ -16,6 +16,7 @@
         "urgent lost" to "$urgentLost of $urgentOffered",
         "first token, short" to line(shortFirstToken),
         "first token, long" to line(longFirstToken),
+    ).plus(refusals.toSortedMap().map { (reason, count) -> "refused $count" to reason }).plus(
         "processor time of daemons" to "%.2f ms per request".format(Locale.ROOT, processorMillisecondsPerRequest),
     ).joinToString("\n") { (name, value) -> "%-29s%s".format(Locale.ROOT, name, value) }
 }
