--- a/daemon/src/main/kotlin/boragering/daemon/MetricRegistry.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/MetricRegistry.kt
@@ -1,4 +1,4 @@
-package boragering.daemon
+package boragering.adapters
 
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
@@ -8,7 +8,7 @@
 import java.io.ByteArrayOutputStream
 
 /** The daemon's metrics. Times are in seconds. */
-internal class MetricRegistry {
+class MetricRegistry {
     private val registry = PrometheusRegistry()
 
     /** Adds a metric whose value is read at each scrape. */
--- a/daemon/src/main/kotlin/boragering/daemon/PeerCounters.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/PeerCounters.kt
@@ -1,10 +1,10 @@
-package boragering.daemon
+package boragering.adapters
 
 import boragering.core.PeerMessageKind
 import boragering.core.PeerTraffic
 
 /** Counts the traffic between daemons. */
-internal class PeerCounters(registry: MetricRegistry) : PeerTraffic {
+class PeerCounters(registry: MetricRegistry) : PeerTraffic {
     private val messages =
         registry.counter {
             name("boragering_peer_messages").help("messages between daemons").labelNames("kind", "direction")
--- a/core/src/main/kotlin/boragering/core/PeerMessage.kt
+++ b/core/src/main/kotlin/boragering/core/PeerMessage.kt
@@ -63,8 +63,36 @@
     @Serializable
     @SerialName("group-summaries")
     data class GroupSummaries(val echo: Long?, val summaries: List<GroupSummary>) : PeerMessage
+
+    /** The sender's requests to the group that instance [head] leads have stopped moving; it started at [startedAt]. */
+    @Serializable
+    @SerialName("target-suspicion")
+    data class TargetSuspicion(val head: InstanceId, val startedAt: Long?) : PeerMessage
+
+    /** Asks for the store's documents that changed after revision [after], because the store does not answer. */
+    @Serializable
+    @SerialName("document-request")
+    data class DocumentRequest(val after: Long) : PeerMessage
+
+    /**
+     * The store's documents that changed after revision [after], up to [revision]; all of them when [after] is zero.
+     *
+     * @property removed revisions at which documents were removed, by key.
+     */
+    @Serializable
+    @SerialName("documents")
+    data class Documents(
+        val after: Long,
+        val revision: Long,
+        val written: List<StoreDocument>,
+        val removed: Map<String, Long>,
+    ) : PeerMessage
 }
 
+/** A document of the store as daemons pass it on. */
+@Serializable
+data class StoreDocument(val key: String, val content: String, val revision: Long)
+
 /** A peer message with the sender's hybrid logical clock stamp. */
 @Serializable
 data class PeerEnvelope(val stamp: HybridTime, val message: PeerMessage)
--- a/core/src/main/kotlin/boragering/core/PeerTraffic.kt
+++ b/core/src/main/kotlin/boragering/core/PeerTraffic.kt
@@ -1,7 +1,18 @@
 package boragering.core
 
 /** Kinds of peer messages, as counted in metrics. */
-enum class PeerMessageKind { PING, PING_ANSWER, PING_REQUEST, ITEMS, DIGEST, ITEM_REQUEST, ECHO, GROUP_SUMMARIES }
+enum class PeerMessageKind {
+    PING,
+    PING_ANSWER,
+    PING_REQUEST,
+    ITEMS,
+    DIGEST,
+    ITEM_REQUEST,
+    ECHO,
+    GROUP_SUMMARIES,
+    DOCUMENTS,
+    TARGET_SUSPICION,
+}
 
 /** The kind of a message; the messages of a comparison of versions count as one kind. */
 val PeerMessage.kind: PeerMessageKind
@@ -15,6 +26,8 @@
         is PeerMessage.ItemRequest -> PeerMessageKind.ITEM_REQUEST
         is PeerMessage.Echo -> PeerMessageKind.ECHO
         is PeerMessage.GroupSummaries -> PeerMessageKind.GROUP_SUMMARIES
+        is PeerMessage.TargetSuspicion -> PeerMessageKind.TARGET_SUSPICION
+        is PeerMessage.DocumentRequest, is PeerMessage.Documents -> PeerMessageKind.DOCUMENTS
     }
 
 /** Counts the traffic between daemons. Implementations are safe for use by several threads and return at once. */
--- a/daemon/src/main/kotlin/boragering/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/Daemon.kt
@@ -5,6 +5,8 @@
 import boragering.adapters.HttpStore
 import boragering.adapters.HttpTargetCalls
 import boragering.adapters.HttpTargets
+import boragering.adapters.MetricRegistry
+import boragering.adapters.PeerCounters
 import boragering.adapters.PeerLinkHandler
 import boragering.adapters.PeerLinkPorts
 import boragering.adapters.PeerLinkSettings
--- a/daemon/src/main/kotlin/boragering/daemon/ObservedStore.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/ObservedStore.kt
@@ -1,5 +1,6 @@
 package boragering.daemon
 
+import boragering.adapters.MetricRegistry
 import arrow.core.Either
 import boragering.core.LeaseId
 import boragering.core.Store
--- a/daemon/src/main/kotlin/boragering/daemon/RequestCounters.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/RequestCounters.kt
@@ -1,5 +1,6 @@
 package boragering.daemon
 
+import boragering.adapters.MetricRegistry
 import boragering.core.EntryName
 import boragering.core.GroupId
 import boragering.core.Problem
--- /dev/null
+++ b/fleet/src/main/kotlin/boragering/fleet/Configuration.kt
@@ -0,0 +1,147 @@
+package boragering.fleet
+
+import boragering.core.OrganisationName
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentMapOf
+import kotlin.time.Duration
+
+/** Names a service: a pool of instances that serve the same requests. */
+@JvmInline
+value class ServiceName(val value: String) {
+    override fun toString(): String = value
+}
+
+/** Names a model that groups of instances load. */
+@JvmInline
+value class ModelName(val value: String) {
+    override fun toString(): String = value
+}
+
+/**
+ * What operators have put in force for a gateway. A higher [version] replaces a lower one as a whole.
+ *
+ * @property organisations who may send requests; `null` when requests carry no keys.
+ */
+data class Configuration(
+    val version: Long,
+    val routes: PersistentList<Route>,
+    val services: PersistentMap<ServiceName, ServiceProfile>,
+    val limits: CallerLimits,
+    val organisations: PersistentList<Organisation>? = null,
+)
+
+/** How often the instances may run one request. */
+enum class Repeatability {
+    /** Any number of times. */
+    IDEMPOTENT,
+
+    /** Once at most. */
+    NON_IDEMPOTENT,
+
+    /** Again only to go on after the last event that the caller received. */
+    RESUMABLE_STREAM,
+
+    /** Once at most, and the answer is a stream of events. */
+    SINGLE_STREAM,
+
+    ;
+
+    /** Whether a request that may have run can be sent to another target. */
+    val repeatable: Boolean get() = this == IDEMPOTENT || this == RESUMABLE_STREAM
+
+    /** Whether answers are streams of events. */
+    val stream: Boolean get() = this == RESUMABLE_STREAM || this == SINGLE_STREAM
+}
+
+/**
+ * Sends the requests of one host whose path begins with [prefix] to services.
+ *
+ * @property split services with their weights.
+ * @property attempts targets to which one request may be sent at most.
+ * @property timeout longest time until the final answer.
+ * @property targetLatency time until the first event or the whole answer within which a request counts as on time.
+ * @property targetGap longest pause between events within which a stream counts as on time.
+ * @property priority rank of the requests, 0 first.
+ * @property public whether requests need no key.
+ */
+data class Route(
+    val name: String,
+    val host: String,
+    val prefix: String,
+    val repeatability: Repeatability,
+    val split: PersistentList<WeightedService>,
+    val attempts: Int,
+    val timeout: Duration,
+    val targetLatency: Duration,
+    val targetGap: Duration? = null,
+    val priority: Int = 0,
+    val public: Boolean = false,
+)
+
+/** A service and its share of a route's requests. */
+data class WeightedService(val service: ServiceName, val weight: Double)
+
+/**
+ * What is configured for a service.
+ *
+ * @property connections open connections that one instance accepts from all gateways together.
+ * @property engine set for pools of model engines, whose requests go to groups of instances.
+ */
+data class ServiceProfile(
+    val name: ServiceName,
+    val connections: Int,
+    val healthPath: String? = null,
+    val engine: EngineProfile? = null,
+)
+
+/**
+ * How the engines of a pool work.
+ *
+ * @property slots requests that one group runs at the same time.
+ * @property loadsPerSecond loads of weights that may begin in a second, over the whole pool.
+ * @property loadsAtOnce loads beyond which each takes proportionally longer.
+ * @property formationTime time that a complete group needs until it serves.
+ * @property reportLag age of what engines report of themselves.
+ */
+data class EngineProfile(
+    val slots: Int,
+    val models: PersistentMap<ModelName, ModelProfile> = persistentMapOf(),
+    val loadsPerSecond: Double,
+    val loadsAtOnce: Int,
+    val formationTime: Duration,
+    val reportLag: Duration = Duration.ZERO,
+)
+
+/**
+ * One model of a pool.
+ *
+ * @property groupSize instances that serve one copy together.
+ * @property share the model's expected share of the pool's work, from 0 to 1.
+ * @property loadTime time to load the weights from the shared store.
+ * @property warmupTime time to load them when they are staged on the host.
+ */
+data class ModelProfile(
+    val name: ModelName,
+    val groupSize: Int,
+    val share: Double,
+    val loadTime: Duration,
+    val warmupTime: Duration,
+)
+
+/** What callers may send, and how long they may take. Sizes in bytes. */
+data class CallerLimits(
+    val headerBytes: Int,
+    val bodyBytes: Int,
+    val headerTimeout: Duration,
+    val idleTimeout: Duration,
+)
+
+/** A customer with the keys that its callers send. A set [priority] replaces that of the route. */
+data class Organisation(
+    val name: OrganisationName,
+    val keys: PersistentSet<String>,
+    val priority: Int? = null,
+)
+
--- /dev/null
+++ b/fleet/src/main/kotlin/boragering/fleet/EventParser.kt
@@ -0,0 +1,61 @@
+package boragering.fleet
+
+import java.io.ByteArrayOutputStream
+
+/**
+ * Splits a stream of server-sent events into whole events, so that an event which breaks off is never passed on.
+ * Not safe for use by several threads.
+ */
+class EventParser {
+    private val pending = ByteArrayOutputStream()
+    private var lineEmpty = true
+    private var lineStart = 0
+
+    private var eventId: Long? = null
+
+    /** Whether part of an event was received without its end. */
+    val broken: Boolean get() = pending.size() > 0
+
+    /** Calls [onEvent] with the bytes and the id of each event that [bytes] completes. */
+    fun feed(bytes: ByteArray, onEvent: (ByteArray, Long?) -> Unit) {
+        for (byte in bytes) {
+            pending.write(byte.toInt())
+            when (byte) {
+                LINE_FEED -> endLine(onEvent)
+                CARRIAGE_RETURN -> Unit
+                else -> lineEmpty = false
+            }
+        }
+    }
+
+    private fun endLine(onEvent: (ByteArray, Long?) -> Unit) {
+        if (lineEmpty) {
+            val event = pending.toByteArray()
+            val id = eventId
+            reset()
+            onEvent(event, id)
+        } else {
+            readLine()
+            lineEmpty = true
+            lineStart = pending.size()
+        }
+    }
+
+    private fun readLine() {
+        val line = pending.toByteArray().decodeToString(lineStart, pending.size()).trimEnd()
+        if (line.startsWith(ID_FIELD)) eventId = line.substring(ID_FIELD.length).trim().toLongOrNull()
+    }
+
+    private fun reset() {
+        pending.reset()
+        lineEmpty = true
+        lineStart = 0
+        eventId = null
+    }
+
+    private companion object {
+        const val LINE_FEED = '\n'.code.toByte()
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
+        const val ID_FIELD = "id:"
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupView.kt
@@ -0,0 +1,55 @@
+package boragering.fleet
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.toPersistentList
+
+/**
+ * The listed instances that say that they belong to one group and epoch, in the order of their ranks.
+ *
+ * An epoch belongs to one list of members, so that ranks without gaps name exactly that list.
+ */
+data class GroupView(val group: GroupEpoch, val members: PersistentList<Instance>) {
+    /** The member that gets the group's requests; `null` when it is not listed. */
+    val head: Instance? get() = members.firstOrNull()?.takeIf { it.membership?.rank == 0 }
+
+    /** The model that the group serves, as its head shows it. */
+    fun model(engine: EngineProfile): ModelName? = head?.loaded?.singleOrNull { it in engine.models }
+
+    /** Whether each of [size] members is listed, has reached at least readiness and stays. */
+    fun whole(size: Int): Boolean =
+        members.size == size &&
+            members.withIndex().all { (rank, member) -> member.membership?.rank == rank && steady(member) }
+
+    /** The target that the group makes; `null` unless it is whole and its head is open. */
+    fun target(engine: EngineProfile): Target? {
+        val model = model(engine) ?: return null
+        val size = engine.models.getValue(model).groupSize
+        val open = head?.takeIf { it.membership?.state == MemberState.OPEN } ?: return null
+        if (!whole(size)) return null
+        return Target(
+            service = open.service,
+            address = open.address,
+            availabilityZone = open.availabilityZone,
+            slots = engine.slots,
+            members = members.map { it.start }.toPersistentList(),
+            model = model,
+            group = group,
+        )
+    }
+
+    private fun steady(member: Instance): Boolean =
+        member.state == InstanceState.SERVING && member.membership?.state in STEADY_STATES
+
+    /** Groups instances. */
+    companion object {
+        private val STEADY_STATES = setOf(MemberState.READY, MemberState.OPEN)
+
+        /** One view for each group and epoch that [instances] name. */
+        fun of(instances: Collection<Instance>): List<GroupView> =
+            instances.filter { it.membership != null }
+                .groupBy { checkNotNull(it.membership).group }
+                .map { (group, members) ->
+                    GroupView(group, members.sortedBy { it.membership?.rank }.toPersistentList())
+                }
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/boragering/fleet/InstanceBook.kt
@@ -0,0 +1,59 @@
+package boragering.fleet
+
+import boragering.core.InstanceId
+import kotlinx.collections.immutable.persistentMapOf
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * The list of instances as it changes. An entry that disappears just after the list was out of reach may have expired
+ * without its instance having ended; it counts as listed until the instance has had time to list itself again. Not safe
+ * for use by several threads.
+ */
+class InstanceBook {
+    private var listed = persistentMapOf<InstanceId, Instance>()
+    private val held = HashMap<InstanceId, Duration>()
+    private var revision = 0L
+
+    /** Whether entries count as listed that have disappeared. */
+    val holds: Boolean get() = held.isNotEmpty()
+
+    /** The instances that count as listed. */
+    val list: InstanceList get() = InstanceList(revision, listed)
+
+    /** Takes the entry of an instance; [atRevision] is the list's revision. */
+    fun put(instance: Instance, atRevision: Long) {
+        listed = listed.put(instance.id, instance)
+        held.remove(instance.id)
+        revision = maxOf(revision, atRevision)
+    }
+
+    /**
+     * Takes the end of an entry at [now]; with [recovering], the list was out of reach shortly before.
+     */
+    fun remove(id: InstanceId, atRevision: Long, recovering: Boolean, now: Duration) {
+        revision = maxOf(revision, atRevision)
+        when {
+            id !in listed -> Unit
+            recovering -> held.putIfAbsent(id, now + RETURN_TIME)
+            else -> drop(id)
+        }
+    }
+
+    /** Drops at [now] what did not return in time; whether anything changed. */
+    fun expire(now: Duration): Boolean {
+        val over = held.filterValues { it <= now }.keys.toList()
+        over.forEach(::drop)
+        return over.isNotEmpty()
+    }
+
+    private fun drop(id: InstanceId) {
+        held.remove(id)
+        listed = listed.remove(id)
+    }
+
+    private companion object {
+        /** Time for living instances to list themselves again. */
+        val RETURN_TIME = 2_300.milliseconds
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/boragering/fleet/InstanceList.kt
@@ -0,0 +1,14 @@
+package boragering.fleet
+
+import boragering.core.InstanceId
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+
+/** The listed instances at one moment; [revision] grows with each change. */
+data class InstanceList(
+    val revision: Long,
+    val instances: PersistentMap<InstanceId, Instance> = persistentMapOf(),
+) {
+    /** The listed instances of [service]. */
+    fun of(service: ServiceName): List<Instance> = instances.values.filter { it.service == service }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/boragering/fleet/Target.kt
@@ -0,0 +1,75 @@
+package boragering.fleet
+
+import boragering.core.AvailabilityZone
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
+
+/**
+ * What requests can be sent to: an instance of a plain service, or the head of a whole group.
+ *
+ * @property model what the group serves; `null` for a plain service.
+ * @property members the starts of all instances that the target consists of, the one that is addressed first.
+ */
+data class Target(
+    val service: ServiceName,
+    val address: Address,
+    val availabilityZone: AvailabilityZone,
+    val slots: Int,
+    val members: PersistentList<InstanceStart>,
+    val model: ModelName? = null,
+    val group: GroupEpoch? = null,
+) {
+    /** The start of the instance that gets the requests. */
+    val head: InstanceStart get() = members.first()
+}
+
+/** The targets that may get requests, derived from the list of instances and the configuration. */
+class TargetTable private constructor(private val services: PersistentMap<ServiceName, PersistentList<Target>>) {
+    /** All targets. */
+    val all: List<Target> get() = services.values.flatten()
+
+    /** Targets of [service] that serve [model]; `null` asks for any. */
+    fun targets(service: ServiceName, model: ModelName?): List<Target> {
+        val targets = services[service] ?: persistentListOf()
+        return if (model == null) targets else targets.filter { it.model == null || it.model == model }
+    }
+
+    /** Makes tables. */
+    companion object {
+        /** Knows no target. */
+        val EMPTY = TargetTable(persistentMapOf())
+
+        /** The targets among [list]; an instance of a service without profile is none. */
+        fun of(list: InstanceList, profiles: Map<ServiceName, ServiceProfile>): TargetTable {
+            val services = list.instances.values.groupBy { it.service }
+                .mapNotNull { (name, instances) -> profiles[name]?.let { name to targets(it, instances) } }
+            return TargetTable(services.toMap().toPersistentMap())
+        }
+
+        private fun targets(profile: ServiceProfile, instances: List<Instance>): PersistentList<Target> {
+            val engine = profile.engine
+            return when {
+                engine == null || engine.models.isEmpty() -> plain(instances)
+                else -> groups(engine, instances)
+            }.toPersistentList()
+        }
+
+        private fun plain(instances: List<Instance>): List<Target> =
+            instances.filter { it.state == InstanceState.SERVING }.map { instance ->
+                Target(
+                    service = instance.service,
+                    address = instance.address,
+                    availabilityZone = instance.availabilityZone,
+                    slots = instance.slots,
+                    members = persistentListOf(instance.start),
+                )
+            }
+
+        private fun groups(engine: EngineProfile, instances: List<Instance>): List<Target> =
+            GroupView.of(instances).mapNotNull { view -> view.target(engine) }
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/boragering/fleet/TargetChoice.kt
@@ -0,0 +1,70 @@
+package boragering.fleet
+
+import boragering.core.AvailabilityZone
+import kotlin.math.exp
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * What a gateway knows of the load of one target.
+ *
+ * @property own requests that this gateway has there.
+ * @property report what the target said of itself last.
+ * @property suspectUntil until when the target counts as failed, by the monotonic clock.
+ */
+data class TargetLoad(
+    val own: Int = 0,
+    val report: LoadReport? = null,
+    val suspectUntil: Duration? = null,
+) {
+    /** Whether the target counts as failed at [now]. */
+    fun suspected(now: Duration): Boolean = suspectUntil != null && now < suspectUntil
+}
+
+/** What a target said of itself [at] a time of the monotonic clock, when the gateway had [own] requests there. */
+data class LoadReport(val running: Int, val waiting: Int, val own: Int, val at: Duration)
+
+/** A target that may be chosen, and its load. */
+data class Candidate(val target: Target, val load: TargetLoad)
+
+/**
+ * Chooses the target of a request: the least loaded one that is not suspected, by this gateway's own requests and by
+ * what the target said of others'. It answers the load of many gateways that see only their own part of the requests.
+ */
+class TargetChoice(private val availabilityZone: AvailabilityZone, private val random: Random) {
+    /** The target for a request at [now], a time of the monotonic clock; `null` when there is none. */
+    fun choose(candidates: List<Candidate>, gateways: Int, now: Duration): Candidate? {
+        val sound = candidates.filter { !it.load.suspected(now) }
+        return sound.ifEmpty { candidates }
+            .map { it to cost(it, gateways, now) + random.nextDouble() * TIE_BREAK }
+            .minByOrNull { (_, cost) -> cost }
+            ?.first
+    }
+
+    /** Expected number of requests at [candidate] for each of its slots. */
+    fun occupancy(candidate: Candidate, gateways: Int, now: Duration): Double =
+        (candidate.load.own + others(candidate.load, gateways, now)) / candidate.target.slots.coerceAtLeast(1)
+
+    private fun cost(candidate: Candidate, gateways: Int, now: Duration): Double {
+        val near = candidate.target.availabilityZone == availabilityZone
+        return occupancy(candidate, gateways, now) + if (near) 0.0 else FAR_COST
+    }
+
+    /** A report says less of the present the older it is; without one, other gateways count as loaded like this one. */
+    private fun others(load: TargetLoad, gateways: Int, now: Duration): Double {
+        val guess = load.own * (gateways - 1.0).coerceAtLeast(0.0)
+        val report = load.report ?: return guess
+        val weight = exp(-((now - report.at) / REPORT_MEMORY).coerceAtLeast(0.0))
+        val seen = (report.running + report.waiting - report.own).coerceAtLeast(0)
+        return weight * seen + (1 - weight) * guess
+    }
+
+    private companion object {
+        val REPORT_MEMORY = 500.milliseconds
+
+        /** Occupancy that a target in the same availability zone may have more than one elsewhere. */
+        const val FAR_COST = 0.05
+        const val TIE_BREAK = 0.02
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/boragering/gateway/AnswerWriter.kt
@@ -0,0 +1,96 @@
+package boragering.gateway
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import java.util.Locale
+import kotlin.time.DurationUnit
+
+/**
+ * Writes the answer to one [request]. [onEnded] is told whether the connection can carry another request; after an
+ * abort the connection is closed at once instead.
+ */
+internal class AnswerWriter(
+    private val channel: Channel,
+    private val request: ReceivedRequest,
+    private val draining: () -> Boolean,
+    private val onEnded: (Boolean) -> Unit,
+) : CallerAnswer {
+    private var keepOpen = false
+
+    override val writable: Boolean get() = channel.isWritable
+
+    override fun whole(head: AnswerHead, body: ByteArray) {
+        val withBody = request.method != HttpMethod.HEAD && head.status !in BODILESS
+        val content = Unpooled.wrappedBuffer(if (withBody) body else ByteArray(0))
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status(head), content)
+        Hop.copy(head.headers, response.headers())
+        if (withBody) response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size.toString())
+        if (request.method == HttpMethod.HEAD) {
+            head.headers.get(HttpHeaderNames.CONTENT_LENGTH)
+                ?.let { response.headers().set(HttpHeaderNames.CONTENT_LENGTH, it) }
+        }
+        finish(response)
+    }
+
+    override fun refuse(refusal: Refusal) {
+        val body = "${refusal.reason}\n".toByteArray()
+        val content = Unpooled.wrappedBuffer(body)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(refusal.status), content)
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain")
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size.toString())
+        refusal.retryAfter?.let {
+            val seconds = String.format(Locale.ROOT, "%.2f", it.toDouble(DurationUnit.SECONDS))
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds)
+        }
+        finish(response)
+    }
+
+    override fun begin(head: AnswerHead) {
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, status(head))
+        Hop.copy(head.headers, response.headers())
+        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        markConnection(response)
+        channel.write(response)
+    }
+
+    override fun event(bytes: ByteArray) {
+        channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+    }
+
+    override fun end() {
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        onEnded(keepOpen)
+    }
+
+    override fun abort() {
+        channel.close()
+    }
+
+    private fun finish(response: HttpResponse) {
+        markConnection(response)
+        channel.writeAndFlush(response)
+        onEnded(keepOpen)
+    }
+
+    private fun markConnection(response: HttpResponse) {
+        keepOpen = request.keepAlive && !draining()
+        HttpUtil.setKeepAlive(response, keepOpen)
+    }
+
+    private fun status(head: AnswerHead): HttpResponseStatus = HttpResponseStatus(head.status, head.reason)
+
+    private companion object {
+        val BODILESS = setOf(204, 304)
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/boragering/gateway/CallerAnswer.kt
@@ -0,0 +1,25 @@
+package boragering.gateway
+
+/** Where an exchange writes its answer. Exactly one of [whole], [refuse], [end] and [abort] ends it. */
+internal interface CallerAnswer {
+    /** Whether the caller reads as fast as the answer is written. */
+    val writable: Boolean
+
+    /** Passes on a target's complete answer. */
+    fun whole(head: AnswerHead, body: ByteArray)
+
+    /** Answers in the gateway's own name. */
+    fun refuse(refusal: Refusal)
+
+    /** Begins a stream with the headers of a target's answer. */
+    fun begin(head: AnswerHead)
+
+    /** Passes on bytes of a stream. */
+    fun event(bytes: ByteArray)
+
+    /** Ends a stream as complete. */
+    fun end()
+
+    /** Breaks a stream off so that it does not look complete. */
+    fun abort()
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/boragering/gateway/Follower.kt
@@ -0,0 +1,99 @@
+package boragering.gateway
+
+import boragering.core.StoreFailure
+import kotlinx.coroutines.delay
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Keeps a [Mirror] up to date from the store. While the store does not answer this gateway, [askPeer] asks another one
+ * for what it knows. Runs on the event loop.
+ */
+class Follower(
+    private val feed: DocumentFeed,
+    private val mirror: Mirror,
+    private val loop: GatewayLoop,
+    private val log: DecisionLog,
+    private val random: Random,
+    private val askPeer: () -> Unit,
+) {
+    private var answeredAt: Duration? = null
+    private var lostAt: Duration? = null
+    private var recoveredAt: Duration? = null
+    private var followedAt: Duration? = null
+
+    /** Whether the store answered not long ago. */
+    val current: Boolean get() = answeredAt.let { it != null && loop.now() - it < FRESHNESS }
+
+    /** Whether the store was out of reach and has been back for a short time only. */
+    val recovering: Boolean
+        get() = lostAt != null || recoveredAt.let { it != null && loop.now() - it < RECOVERY_TIME }
+
+    /** Follows until cancelled. */
+    suspend fun run() {
+        while (true) {
+            if (mirror.revision.value == 0L) read() else follow()
+        }
+    }
+
+    private suspend fun read() {
+        feed.read(PREFIX).fold({ failed(it) }, { snapshot ->
+            answered()
+            mirror.replace(snapshot)
+            log.state("store-read", "revision" to snapshot.revision, "documents" to snapshot.documents.size)
+        })
+    }
+
+    private suspend fun follow() {
+        // Changes that come in quick succession are read together, since each call counts at the store.
+        loop.now().let { now -> followedAt?.let { delay((it + CALL_SPACING - now).coerceAtLeast(Duration.ZERO)) } }
+        followedAt = loop.now()
+        val result = feed.changes(PREFIX, mirror.revision, WAIT)
+        when (val failure = result.leftOrNull()) {
+            null -> {
+                answered()
+                result.onRight(mirror::apply)
+            }
+            FeedFailure.HistoryLost -> {
+                log.state("store-history-lost", "revision" to mirror.revision)
+                read()
+            }
+            is FeedFailure.Unavailable -> failed(failure.cause)
+        }
+    }
+
+    private fun answered() {
+        val now = loop.now()
+        answeredAt = now
+        lostAt?.let {
+            log.state("store-regained", "after" to now - it, "revision" to mirror.revision)
+            recoveredAt = now
+        }
+        lostAt = null
+    }
+
+    private suspend fun failed(failure: StoreFailure) {
+        if (lostAt == null) {
+            lostAt = loop.now()
+            log.state("store-lost", "reason" to failure.reason, "revision" to mirror.revision)
+        }
+        askPeer()
+        delay(RETRY_INTERVAL * (1 + random.nextDouble()))
+    }
+
+    private companion object {
+        /** All documents: one waiting call costs less than one for each kind of document. */
+        const val PREFIX = ""
+
+        /** Bounds how long a silent connection goes unnoticed. */
+        val WAIT = 2.seconds
+        val CALL_SPACING = 200.milliseconds
+        val RETRY_INTERVAL = 250.milliseconds
+        val FRESHNESS = 3.seconds
+
+        /** Time after which entries that expired while the store was out of reach are back. */
+        val RECOVERY_TIME = 2_500.milliseconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
@@ -0,0 +1,108 @@
+package boragering.gateway
+
+import boragering.fleet.Address
+import boragering.fleet.Configuration
+import boragering.fleet.InstanceList
+import boragering.fleet.InstanceStart
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpRequestDecoder
+import io.netty.handler.codec.http.HttpResponseEncoder
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Takes the requests of callers, sends each to a target that can serve it, and passes the answer back. What is in force
+ * and which instances there are it is told with [configure] and [instances], on its event loop.
+ */
+class Gateway(settings: GatewaySettings, private val ports: GatewayPorts) {
+    private val state = GatewayState(settings, ports)
+    private val connections = HashSet<CallerConnection>()
+
+    /** Whether requests can be served. */
+    val ready: Boolean get() = state.ready
+
+    /** Requests that are not answered yet. */
+    val requestsInProgress: Int get() = state.exchanges.size
+
+    /** Open connections of callers. */
+    val callers: Int get() = connections.size
+
+    /** Number of targets that may get requests. */
+    val targets: Int get() = state.targets.all.size
+
+    /** Starts to listen at [address]. */
+    fun listen(address: Address) {
+        ports.loop.every(CHECK_INTERVAL) { check() }
+        ServerBootstrap().group(ports.loop.group)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(initializer())
+            .bind(address.host, address.port)
+            .syncUninterruptibly()
+    }
+
+    /** Puts [configuration] in force. */
+    fun configure(configuration: Configuration) = state.configure(configuration)
+
+    /** Takes the instances that are listed now. */
+    fun instances(list: InstanceList) = state.instances(list)
+
+    /** Another gateway counts the target that [head] leads as failed. */
+    fun suspectedElsewhere(head: InstanceStart) = state.suspectedElsewhere(head)
+
+    /**
+     * Stops gracefully within [limit]: the gateway is not ready any more, still answers what arrives until callers are
+     * sent elsewhere, and ends when no request is left.
+     */
+    suspend fun drain(limit: Duration) = withContext(ports.loop.dispatcher) {
+        val start = ports.loop.now()
+        state.draining = true
+        while (ports.loop.now() - start < limit) {
+            val elsewhere = ports.loop.now() - start >= REDIRECTION_TIME
+            if (elsewhere) connections.toList().forEach { it.closeIfIdle() }
+            if (elsewhere && state.exchanges.isEmpty() && connections.none { !it.idle }) break
+            delay(CHECK_INTERVAL)
+        }
+        ports.log.state("gateway-drained", "requestsLeft" to state.exchanges.size, "after" to ports.loop.now() - start)
+    }
+
+    private fun check() {
+        val now = ports.loop.now()
+        state.exchanges.toList().forEach { it.check(now) }
+        connections.toList().forEach { it.check(now) }
+    }
+
+    private fun initializer(): ChannelInitializer<Channel> = object : ChannelInitializer<Channel>() {
+        override fun initChannel(channel: Channel) {
+            val headerBytes = state.routes?.limits?.headerBytes ?: UNCONFIGURED_HEADER_BYTES
+            val arrivals = ArrivalWatch(state)
+            val connection = CallerConnection(state, channel, arrivals) { connections -= it }
+            connections += connection
+            channel.pipeline().addLast(
+                arrivals,
+                HttpRequestDecoder(headerBytes, headerBytes, CHUNK_BYTES),
+                HttpResponseEncoder(),
+                connection,
+            )
+        }
+    }
+
+    private companion object {
+        val CHECK_INTERVAL = 50.milliseconds
+
+        /** Time that callers' load balancer needs to notice that a gateway is not ready. */
+        val REDIRECTION_TIME = 2.seconds + 500.milliseconds
+        const val BACKLOG = 1024
+        const val UNCONFIGURED_HEADER_BYTES = 16 shl 10
+        const val CHUNK_BYTES = 16 shl 10
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayLoop.kt
@@ -0,0 +1,43 @@
+package boragering.gateway
+
+import boragering.core.Clock
+import io.netty.channel.EventLoop
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.asCoroutineDispatcher
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/**
+ * The one thread on which a gateway forwards and decides. A gateway's machine runs one thread at a time, so that more
+ * threads would only add locks and switches between them.
+ */
+class GatewayLoop(private val clock: Clock) : AutoCloseable {
+    internal val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    internal val eventLoop: EventLoop = group.next()
+
+    /** Runs coroutines on the loop. */
+    val dispatcher: CoroutineDispatcher = eventLoop.asCoroutineDispatcher()
+
+    /** Time of the monotonic clock. */
+    fun now(): Duration = clock.monotonic()
+
+    /** Runs [action] on the loop. */
+    fun execute(action: () -> Unit) = eventLoop.execute(action)
+
+    /** Runs [action] on the loop every [interval] until the loop is closed. */
+    fun every(interval: Duration, action: () -> Unit) {
+        val period = interval.inWholeMilliseconds
+        eventLoop.scheduleWithFixedDelay(action, period, period, TimeUnit.MILLISECONDS)
+    }
+
+    /** Runs [action] on the loop after [delay]. */
+    internal fun after(delay: Duration, action: () -> Unit) {
+        eventLoop.schedule(action, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    override fun close() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayMetrics.kt
@@ -0,0 +1,27 @@
+package boragering.gateway
+
+import boragering.adapters.MetricRegistry
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/** Counts what happens to requests. */
+class GatewayMetrics(registry: MetricRegistry) {
+    private val ended =
+        registry.counter {
+            name("boragering_gateway_answers").help("answers to callers").labelNames("route", "status", "origin")
+        }
+    private val attempts =
+        registry.counter { name("boragering_gateway_attempts").help("sends to targets").labelNames("outcome") }
+    private val latency = registry.entryTimes("boragering_gateway_answer_seconds", "time until an answer ended")
+    private val firstByte = registry.entryTimes("boragering_gateway_first_byte_seconds", "time until an answer began")
+
+    internal fun ended(route: String, status: Int, origin: String, after: Duration) {
+        ended.labelValues(route, status.toString(), origin).inc()
+        latency.labelValues(route).observe(after.toDouble(DurationUnit.SECONDS))
+    }
+
+    internal fun began(route: String, after: Duration) =
+        firstByte.labelValues(route).observe(after.toDouble(DurationUnit.SECONDS))
+
+    internal fun attempt(outcome: String) = attempts.labelValues(outcome).inc()
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
@@ -0,0 +1,107 @@
+package boragering.gateway
+
+import boragering.core.AvailabilityZone
+import boragering.fleet.Configuration
+import boragering.fleet.InstanceList
+import boragering.fleet.InstanceStart
+import boragering.fleet.RetryAllowance
+import boragering.fleet.RetryLimits
+import boragering.fleet.RouteTable
+import boragering.fleet.ServiceName
+import boragering.fleet.ServiceProfile
+import boragering.fleet.TargetChoice
+import boragering.fleet.TargetTable
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Settings of a gateway.
+ *
+ * @property connectTimeout time after which a connection to a target counts as refused.
+ */
+data class GatewaySettings(
+    val availabilityZone: AvailabilityZone,
+    val names: HeaderNames,
+    val retries: RetryLimits,
+    val connectTimeout: Duration = 400.milliseconds,
+)
+
+/**
+ * What a gateway uses of its surroundings; [gateways] tells how many gateways serve the deployment now, and
+ * [onSuspicion] is told of targets that seem to have failed.
+ */
+class GatewayPorts(
+    val loop: GatewayLoop,
+    val log: DecisionLog,
+    val metrics: GatewayMetrics,
+    val random: Random,
+    val gateways: () -> Int,
+    val onSuspicion: (InstanceStart) -> Unit = {},
+)
+
+/** What a gateway knows and shares between its requests. Used on the event loop only. */
+internal class GatewayState(val settings: GatewaySettings, val ports: GatewayPorts) {
+    private val allowances = HashMap<ServiceName, RetryAllowance>()
+    private val pools = PoolContext(ports.loop, settings.connectTimeout) { ports.metrics.attempt("connect") }
+    private var profiles = emptyMap<ServiceName, ServiceProfile>()
+    private var list: InstanceList? = null
+
+    val names: HeaderNames get() = settings.names
+    val log: DecisionLog get() = ports.log
+    val loads = TargetLoads(pools, names.requestId)
+    val choice = TargetChoice(settings.availabilityZone, ports.random)
+    val exchanges = LinkedHashSet<Exchange>()
+
+    /** The routes in force; `null` before the first configuration is known. */
+    var routes: RouteTable? = null
+        private set
+
+    /** The targets that may get requests. */
+    var targets = TargetTable.EMPTY
+        private set
+
+    /** Whether the process is about to stop. */
+    var draining = false
+
+    /** Whether requests can be served: configuration and instances are known. */
+    val ready: Boolean get() = routes != null && list != null && !draining
+
+    fun now(): Duration = ports.loop.now()
+
+    fun gateways(): Int = ports.gateways()
+
+    fun allowance(service: ServiceName): RetryAllowance =
+        allowances.getOrPut(service) { RetryAllowance(settings.retries) }
+
+    fun configure(configuration: Configuration) {
+        routes = RouteTable(configuration)
+        profiles = configuration.services
+        refresh()
+    }
+
+    fun instances(known: InstanceList) {
+        list = known
+        refresh()
+    }
+
+    /** Counts the target of [attempt] as failed, and tells other gateways if it did not before. */
+    fun suspect(attempt: TargetAttempt) {
+        if (!attempt.used.suspect(now())) return
+        log.state("target-suspected", "target" to attempt.target.head, "group" to attempt.target.group)
+        if (attempt.target.group != null) ports.onSuspicion(attempt.target.head)
+    }
+
+    /** Another gateway counts [head] as failed; without streams of its own this one cannot see that. */
+    fun suspectedElsewhere(head: InstanceStart) {
+        val target = targets.all.firstOrNull { it.head == head } ?: return
+        val used = loads.of(target)
+        if (!used.flowsAt(now())) used.suspect(now())
+    }
+
+    private fun refresh() {
+        val known = list ?: return
+        targets = TargetTable.of(known, profiles)
+        loads.retain(targets)
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/boragering/gateway/HttpCalls.kt
@@ -0,0 +1,111 @@
+package boragering.gateway
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import boragering.fleet.Address
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
+
+/** A call of the gateway itself, not of a caller. */
+data class HttpCall(
+    val method: String,
+    val uri: String,
+    val body: String? = null,
+    val headers: Map<String, String> = emptyMap(),
+)
+
+/** The answer to an [HttpCall]. */
+class HttpAnswer(val status: Int, val body: String, private val headers: Map<String, String>) {
+    /** The value of the header [name], in lower case; `null` when the answer has none. */
+    fun header(name: String): String? = headers[name]
+}
+
+/** Why an [HttpCall] has no answer. */
+sealed interface HttpFailure {
+    /** Explanation for the log. */
+    val reason: String
+
+    /** The other side did not get the call. */
+    data class NotSent(override val reason: String) : HttpFailure
+
+    /** The other side may have carried the call out, or may do so later. */
+    data class Unanswered(override val reason: String) : HttpFailure
+}
+
+/** Calls other programs for the gateway's own purposes, over connections that are kept for the next call. */
+class HttpCalls(private val loop: GatewayLoop, connectTimeout: Duration) {
+    private val context = PoolContext(loop, connectTimeout)
+    private val pools = HashMap<Address, TargetPool>()
+
+    /** Sends [call] to [address] and waits [timeout] at most. */
+    suspend fun send(address: Address, call: HttpCall, timeout: Duration): Either<HttpFailure, HttpAnswer> {
+        val pending = PendingCall(call, address)
+        val started = CompletableDeferred<CallHandle>()
+        loop.execute { started.complete(pool(address).send(pending, CONNECTIONS)) }
+        val handle = started.await()
+        val answer = withTimeoutOrNull(timeout) { pending.answer.await() }
+        if (answer != null) return answer
+        loop.execute { handle.cancel() }
+        val reason = "no answer within $timeout"
+        return (if (handle.sent) HttpFailure.Unanswered(reason) else HttpFailure.NotSent(reason)).left()
+    }
+
+    private fun pool(address: Address): TargetPool = pools.getOrPut(address) { TargetPool(context, address) }
+
+    private class PendingCall(call: HttpCall, address: Address) : TargetCall {
+        val answer = CompletableDeferred<Either<HttpFailure, HttpAnswer>>()
+        private val body = ByteArrayOutputStream()
+        private var head: AnswerHead? = null
+
+        override val request: FullHttpRequest = request(call, address)
+        override val requestId: String? = null
+        override val idleLimit: Duration? = null
+
+        override fun onHead(head: AnswerHead) {
+            this.head = head
+        }
+
+        override fun onContent(bytes: ByteArray) = body.write(bytes)
+
+        override fun onEnd() {
+            val received = checkNotNull(head)
+            val headers = received.headers.entries().associate { it.key.lowercase() to it.value }
+            answer.complete(HttpAnswer(received.status, body.toString(Charsets.UTF_8), headers).right())
+        }
+
+        override fun onFailure(failure: CallFailure) {
+            val reason = when (failure) {
+                is CallFailure.NotSent -> HttpFailure.NotSent(failure.reason)
+                is CallFailure.Lost -> HttpFailure.Unanswered(failure.reason)
+            }
+            answer.complete(reason.left())
+        }
+
+        private fun request(call: HttpCall, address: Address): FullHttpRequest {
+            val content = Unpooled.wrappedBuffer(call.body.orEmpty().toByteArray())
+            val request =
+                DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method), call.uri, content)
+            request.headers().set(HttpHeaderNames.HOST, address.toString())
+            if (call.body != null) {
+                request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+                request.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
+            }
+            call.headers.forEach { (name, value) -> request.headers().set(name, value) }
+            return request
+        }
+    }
+
+    private companion object {
+        /** Calls to one address at the same time. */
+        const val CONNECTIONS = 16
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/boragering/gateway/OrderDispatcher.kt
@@ -0,0 +1,54 @@
+package boragering.gateway
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import boragering.fleet.AddressedOrder
+import boragering.fleet.Instance
+import boragering.fleet.InstanceStart
+import boragering.fleet.Order
+import boragering.fleet.OrderOutcome
+
+/**
+ * Sends the orders of one planner. Each names the number of orders that the instance has begun, so that an order that is
+ * sent once more is carried out once, also if the first one arrives late. Used on the event loop only.
+ */
+internal class OrderDispatcher(private val port: OrderPort, private val fence: Long, private val log: DecisionLog) {
+    private val counts = HashMap<InstanceStart, Long>()
+
+    /** Sends [addressed] and tells what became of it. */
+    suspend fun send(addressed: AddressedOrder): OrderOutcome {
+        val instance = addressed.instance
+        val count = counts[instance.start] ?: count(instance).getOrElse { return it.logged(addressed) }
+        val answer = port.send(instance, addressed.order, fence, count)
+        // Whether an order that ends something counts is for the instance to say.
+        val counted = answer == OrderAnswer.Begun && (addressed.order is Order.Join || addressed.order is Order.Stage)
+        if (counted) counts[instance.start] = count + 1 else counts.remove(instance.start)
+        return outcome(answer).logged(addressed)
+    }
+
+    private suspend fun count(instance: Instance): Either<OrderOutcome, Long> =
+        port.report(instance).fold(
+            { Either.Left(OrderOutcome.NotSent("no report: ${it.reason}")) },
+            { report ->
+                if (report.start != null && report.start != instance.start) {
+                    Either.Left(OrderOutcome.NotSent("the address belongs to ${report.start}"))
+                } else {
+                    Either.Right(report.orders)
+                }
+            },
+        )
+
+    private fun outcome(answer: OrderAnswer): OrderOutcome = when (answer) {
+        OrderAnswer.Begun, OrderAnswer.InPlace -> OrderOutcome.Accepted
+        is OrderAnswer.Conflict -> OrderOutcome.Refused(answer.reason)
+        OrderAnswer.Superseded -> OrderOutcome.Superseded
+        OrderAnswer.Misdirected -> OrderOutcome.Refused("another instance has the address")
+        is OrderAnswer.Unanswered -> OrderOutcome.Unanswered(answer.reason)
+        is OrderAnswer.NotSent -> OrderOutcome.NotSent(answer.reason)
+    }
+
+    private fun OrderOutcome.logged(addressed: AddressedOrder): OrderOutcome {
+        log.state("order", "instance" to addressed.instance.start, "order" to addressed.order, "outcome" to this)
+        return this
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/boragering/gateway/PeerMirror.kt
@@ -0,0 +1,76 @@
+package boragering.gateway
+
+import boragering.core.DaemonId
+import boragering.core.PeerLink
+import boragering.core.PeerMessage
+import boragering.core.Peers
+import boragering.core.StoreDocument
+import boragering.core.StoreRevision
+import boragering.core.StoredValue
+import kotlinx.collections.immutable.toPersistentList
+import kotlin.random.Random
+
+/**
+ * Lets gateways that the store does not answer learn from others what has changed. A gateway asks one peer at a time, and
+ * only while it needs to, so that the messages do not grow with the number of gateways. Used on the event loop only.
+ */
+class PeerMirror(
+    private val mirror: Mirror,
+    private val peers: Peers,
+    private val link: PeerLink,
+    private val random: Random,
+    private val log: DecisionLog,
+) {
+    /** Asks a random live peer for what changed since this gateway's last revision. */
+    fun ask() {
+        val others = peers.live.map { it.daemon }.filter { it != peers.self.daemon }
+        others.randomOrNull(random)?.let { link.send(it, PeerMessage.DocumentRequest(mirror.revision.value)) }
+    }
+
+    /** Handles a message of another gateway; messages of other components are ignored. */
+    fun handle(from: DaemonId, message: PeerMessage) {
+        when (message) {
+            is PeerMessage.DocumentRequest -> answer(from, StoreRevision(message.after))
+            is PeerMessage.Documents -> take(from, message)
+            else -> Unit
+        }
+    }
+
+    private fun answer(from: DaemonId, after: StoreRevision) {
+        if (mirror.revision <= after) return
+        val changes = if (after == StoreRevision.NONE) null else mirror.since(after)
+        val message = if (changes == null) whole() else changed(after, changes)
+        link.send(from, message)
+    }
+
+    private fun whole(): PeerMessage.Documents =
+        PeerMessage.Documents(0, mirror.revision.value, mirror.all().map { it.toDocument() }, emptyMap())
+
+    private fun changed(after: StoreRevision, changes: DocumentChanges): PeerMessage.Documents {
+        val written = changes.changes.filterIsInstance<DocumentChange.Written>().map { it.document.toDocument() }
+        val removed = changes.changes.filterIsInstance<DocumentChange.Removed>()
+        return PeerMessage.Documents(
+            after = after.value,
+            revision = changes.revision.value,
+            written = written,
+            removed = removed.associate { it.key to it.revision.value },
+        )
+    }
+
+    private fun take(from: DaemonId, message: PeerMessage.Documents) {
+        val revision = StoreRevision(message.revision)
+        if (revision <= mirror.revision) return
+        val documents = message.written.map { StoredValue(it.key, it.content, StoreRevision(it.revision)) }
+        if (message.after == 0L) {
+            mirror.replace(DocumentSnapshot(documents.toPersistentList(), revision))
+        } else if (message.after <= mirror.revision.value) {
+            val written = documents.map { DocumentChange.Written(it) }
+            val removed = message.removed.map { (key, at) -> DocumentChange.Removed(key, StoreRevision(at)) }
+            val changes = (written + removed).sortedBy { it.revision }
+            mirror.apply(DocumentChanges(changes.toPersistentList(), revision))
+        }
+        log.state("documents-from-peer", "peer" to from, "revision" to revision, "documents" to documents.size)
+    }
+
+    private fun StoredValue.toDocument(): StoreDocument = StoreDocument(key, value, revision.value)
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/boragering/gateway/PlannerLock.kt
@@ -0,0 +1,89 @@
+package boragering.gateway
+
+import arrow.core.getOrElse
+import boragering.core.Clock
+import boragering.core.DaemonId
+import boragering.core.LeaseId
+import boragering.core.Store
+import boragering.core.StoreRevision
+import boragering.core.SwapOutcome
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Makes one gateway the planner. The lock is a document with a lease; its revision is the planner's fencing number,
+ * which grows from planner to planner. Used on the event loop only.
+ */
+internal class PlannerLock(private val store: Store, private val self: DaemonId, private val clock: Clock) {
+    private var lease: LeaseId? = null
+    private var validUntil = Duration.ZERO
+    private var renewedAt = Duration.ZERO
+    private var wallOffset = 0L
+
+    /** The fencing number; `null` while this gateway is not the planner. */
+    var fence: Long? = null
+        private set
+
+    /** Whether this gateway is certainly the planner now; a pause of the process makes it uncertain. */
+    val held: Boolean get() = fence != null && clock.monotonic() < validUntil && !paused()
+
+    /** Becomes the planner if there is none. */
+    suspend fun acquire(): Boolean {
+        val start = clock.monotonic()
+        val granted = store.grantLease(TIME_TO_LIVE).getOrElse { return false }
+        val outcome = store.compareAndSwap(KEY, StoreRevision.NONE, self.value, granted).getOrElse { null }
+        if (outcome is SwapOutcome.Swapped) {
+            lease = granted
+            fence = outcome.revision.value
+            extend(start)
+        } else {
+            store.revokeLease(granted)
+        }
+        return held
+    }
+
+    /** Renews the lock when that is due; the lock is given up when it cannot be renewed in time. */
+    suspend fun renew() {
+        val current = lease ?: return
+        val start = clock.monotonic()
+        val uncertain = paused()
+        if (start - renewedAt < RENEWAL && !uncertain) return
+        store.renewLease(current).fold(
+            { if (clock.monotonic() >= validUntil || uncertain) drop() },
+            { remaining -> if (remaining > Duration.ZERO) extend(start) else drop() },
+        )
+    }
+
+    /** Ends the lock, so that another gateway can take it at once. */
+    suspend fun release() {
+        val current = lease
+        drop()
+        current?.let { store.revokeLease(it) }
+    }
+
+    /** Forgets the lock without a call to the store. */
+    fun drop() {
+        lease = null
+        fence = null
+    }
+
+    private fun extend(start: Duration) {
+        renewedAt = start
+        validUntil = start + TIME_TO_LIVE - MARGIN
+        wallOffset = offset()
+    }
+
+    /** The monotonic clock may stand still while the machine is suspended; the time of day does not. */
+    private fun paused(): Boolean = kotlin.math.abs(offset() - wallOffset) > CLOCK_TOLERANCE.inWholeMilliseconds
+
+    private fun offset(): Long = clock.wallMilliseconds() - clock.monotonic().inWholeMilliseconds
+
+    companion object {
+        /** The key of the lock. */
+        const val KEY = "boragering/planner"
+        private val TIME_TO_LIVE = 2_500.milliseconds
+        private val MARGIN = 500.milliseconds
+        private val RENEWAL = 700.milliseconds
+        private val CLOCK_TOLERANCE = 300.milliseconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/boragering/gateway/PlannerLoop.kt
@@ -0,0 +1,209 @@
+package boragering.gateway
+
+import boragering.core.Clock
+import boragering.core.DaemonId
+import boragering.core.Store
+import boragering.fleet.AddressedOrder
+import boragering.fleet.Configuration
+import boragering.fleet.GroupEpoch
+import boragering.fleet.GroupPlanner
+import boragering.fleet.Inquiry
+import boragering.fleet.Instance
+import boragering.fleet.InstanceList
+import boragering.fleet.InstanceStart
+import boragering.fleet.Order
+import boragering.fleet.OrderOutcome
+import boragering.fleet.PlanningStep
+import boragering.fleet.PoolState
+import boragering.fleet.ServiceName
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * What a planner works on. Read on the event loop.
+ *
+ * @property list the instances; `null` while the list is not known to be up to date.
+ * @property planner who holds the planner's lock, as far as it is known.
+ */
+interface PlannerView {
+    val configuration: Configuration?
+    val list: InstanceList?
+    val planner: String?
+
+    /** Whether no other gateway serves the callers of this one's availability zone. */
+    val alone: Boolean
+
+    /** Heads of groups that seem to have failed; each call returns those that came since the last one. */
+    fun takeSuspicions(): Set<InstanceStart>
+}
+
+/** What a [PlannerLoop] uses. */
+class PlannerPorts(
+    val store: Store,
+    val orders: OrderPort,
+    val loop: GatewayLoop,
+    val clock: Clock,
+    val log: DecisionLog,
+    val random: Random,
+)
+
+/**
+ * Competes for the planner's lock and plans while this gateway holds it. Runs on the event loop.
+ */
+class PlannerLoop(private val self: DaemonId, private val ports: PlannerPorts, private val view: PlannerView) {
+    private val lock = PlannerLock(ports.store, self, ports.clock)
+    private var stopping = false
+
+    /** Whether this gateway plans. */
+    val planning: Boolean get() = lock.held
+
+    /** Runs until cancelled. */
+    suspend fun run() {
+        while (true) {
+            if (!stopping && view.configuration != null && view.planner == null && view.list != null) {
+                delay(COMPETITION_SPREAD * ports.random.nextDouble())
+                if (view.alone) delay(COMPETITION_HANDICAP)
+                if (view.planner == null && !stopping && lock.acquire()) plan()
+            }
+            delay(IDLE_INTERVAL)
+        }
+    }
+
+    /** Gives the lock up, so that another gateway plans. */
+    suspend fun stop() {
+        stopping = true
+        lock.release()
+    }
+
+    private suspend fun plan() = coroutineScope {
+        val fence = lock.fence ?: return@coroutineScope
+        ports.log.state("planner-started", "fence" to fence)
+        val term = PlannerTerm(fence, ports) { lock.held }
+        val renewal = launch {
+            while (lock.fence == fence) {
+                lock.renew()
+                delay(RENEWAL_CHECK)
+            }
+        }
+        while (lock.fence == fence && !term.superseded) {
+            val configuration = view.configuration
+            val list = view.list
+            if (lock.held && configuration != null && list != null) term.step(configuration, list, view.takeSuspicions(), this)
+            delay(STEP_INTERVAL)
+        }
+        renewal.cancel()
+        if (lock.fence == fence) lock.release()
+        ports.log.state("planner-stopped", "fence" to fence, "superseded" to term.superseded)
+    }
+
+    /** Constants of the planner. */
+    companion object {
+        /** Key of the document that names the planner. */
+        const val LOCK_KEY = PlannerLock.KEY
+
+        private val IDLE_INTERVAL = 200.milliseconds
+        private val STEP_INTERVAL = 150.milliseconds
+        private val RENEWAL_CHECK = 200.milliseconds
+
+        /** Gateways that see the lock free do not all try at the same moment. */
+        private val COMPETITION_SPREAD = 200.milliseconds
+
+        /** The planner's work weighs on a gateway; one that is alone in its availability zone takes it last. */
+        private val COMPETITION_HANDICAP = 600.milliseconds
+    }
+}
+
+/** The planning of one gateway from the time it takes the lock until it loses it. */
+private class PlannerTerm(private val fence: Long, private val ports: PlannerPorts, private val held: () -> Boolean) {
+    private val planners = HashMap<ServiceName, GroupPlanner>()
+    private val dispatcher = OrderDispatcher(ports.orders, fence, ports.log)
+    private val inquiring = HashSet<GroupEpoch>()
+    private val probing = HashSet<InstanceStart>()
+    private val unreachable = HashMap<InstanceStart, Duration>()
+    private val unanswered = HashMap<GroupEpoch, Int>()
+
+    /** Whether an instance has seen a newer planner. */
+    var superseded = false
+        private set
+
+    fun step(configuration: Configuration, list: InstanceList, suspicions: Set<InstanceStart>, scope: CoroutineScope) {
+        val now = ports.loop.now()
+        unreachable.values.removeIf { it <= now }
+        configuration.services.values.forEach { service ->
+            val engine = service.engine?.takeIf { it.models.isNotEmpty() } ?: return@forEach
+            val planner = planners.getOrPut(service.name) { GroupPlanner(fence) }
+            suspicions.mapNotNull { planner.servedBy(it) }.flatten().forEach { scope.launch { probe(it) } }
+            val step = planner.step(PoolState(engine, list.of(service.name), unreachable.keys), now)
+            carryOut(planner, step, scope)
+        }
+    }
+
+    private fun carryOut(planner: GroupPlanner, step: PlanningStep, scope: CoroutineScope) {
+        step.notes.forEach { ports.log.state(it.decision, "group" to it.group, "reason" to it.reason) }
+        step.orders.forEach { addressed -> scope.launch { order(planner, addressed) } }
+        step.inquiries.filter { inquiring.add(it.group) }.forEach { inquiry ->
+            scope.launch { inquire(planner, inquiry) }
+        }
+    }
+
+    private suspend fun order(planner: GroupPlanner, addressed: AddressedOrder) {
+        if (!held()) {
+            planner.answered(addressed, OrderOutcome.NotSent("the planner's lock is not held"))
+            return
+        }
+        val outcome = dispatcher.send(addressed)
+        if (outcome == OrderOutcome.Superseded) superseded = true
+        planner.answered(addressed, outcome)
+    }
+
+    /** Finds out whether a member of a group that seems to have failed answers. */
+    private suspend fun probe(member: Instance) {
+        if (!probing.add(member.start)) return
+        var failures = 0
+        while (failures < PROBES && ports.orders.report(member).isLeft()) failures += 1
+        if (failures == PROBES) {
+            unreachable[member.start] = ports.loop.now() + UNREACHABLE_TIME
+            ports.log.state("instance-unreachable", "instance" to member.start, "probes" to failures)
+        }
+        delay(INQUIRY_INTERVAL)
+        probing.remove(member.start)
+    }
+
+    /** A head that is not listed may still run, cut off from the list only; then it has to leave its group. */
+    private suspend fun inquire(planner: GroupPlanner, inquiry: Inquiry) {
+        val report = ports.orders.report(inquiry.head).getOrNull()
+        val ended = when {
+            report == null -> unanswered.merge(inquiry.group, 1, Int::plus) == INQUIRIES
+            report.start != null && report.start != inquiry.head.start -> true
+            report.membership?.group != inquiry.group -> true
+            else -> left(inquiry)
+        }
+        if (ended) planner.headEnded(inquiry.group)
+        delay(INQUIRY_INTERVAL)
+        inquiring.remove(inquiry.group)
+    }
+
+    private suspend fun left(inquiry: Inquiry): Boolean {
+        unanswered.remove(inquiry.group)
+        val order = AddressedOrder(inquiry.head, Order.Leave(inquiry.group))
+        return held() && dispatcher.send(order) == OrderOutcome.Accepted
+    }
+
+    private companion object {
+        /** Inquiries without an answer after which an instance that is not listed counts as ended. */
+        const val INQUIRIES = 2
+
+        /** Probes without an answer after which a member of a failing group counts as lost. */
+        const val PROBES = 2
+
+        /** Time after which an instance that did not answer is tried again, if it is still listed. */
+        val UNREACHABLE_TIME = 6.seconds
+        val INQUIRY_INTERVAL = 300.milliseconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/boragering/gateway/RequestReader.kt
@@ -0,0 +1,92 @@
+package boragering.gateway
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import arrow.core.raise.ensureNotNull
+import arrow.core.right
+import boragering.core.OrganisationName
+import boragering.core.RequestId
+import boragering.fleet.ModelName
+import boragering.fleet.Organisation
+import boragering.fleet.Route
+import boragering.fleet.RouteTable
+import boragering.fleet.ServiceProfile
+import io.netty.handler.codec.http.HttpHeaderNames
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * A request that the configuration allows.
+ *
+ * @property deadline when the caller or the route gives up, by the monotonic clock.
+ * @property callerDeadline when the caller gives up.
+ * @property priority urgency, 0 first.
+ */
+internal class RoutedRequest(
+    val id: RequestId,
+    val received: ReceivedRequest,
+    val route: Route,
+    val service: ServiceProfile,
+    val organisation: OrganisationName?,
+    val arrivedAt: Duration,
+    val deadline: Duration,
+    val callerDeadline: Duration,
+    val priority: Int,
+    val model: ModelName?,
+    val lastEvent: Long?,
+)
+
+/** Finds out what a request asks for and whether it is allowed. Pure. */
+internal class RequestReader(private val names: HeaderNames, private val random: Random) {
+    /** The routed request, or why it is refused, at [now] by [routes]. */
+    fun read(received: ReceivedRequest, routes: RouteTable, now: Duration): Either<Refusal, RoutedRequest> = either {
+        val headers = received.headers
+        val host = headers.getAll(HttpHeaderNames.HOST).singleOrNull()
+        ensureNotNull(host) { Refusal.Malformed("one host header is needed") }
+        val route = ensureNotNull(routes.route(host, received.path)) { Refusal.NoRoute() }
+        val organisation = organisation(received, route, routes).bind()
+        val id = headers.getAll(names.requestId).singleOrNull()
+        ensureNotNull(id) { Refusal.Malformed("one request id is needed") }
+        val timeLeft = headers.get(names.timeLeft)?.trim()?.toLongOrNull()?.milliseconds ?: route.timeout
+        ensure(timeLeft > Duration.ZERO) { Refusal.Unavailable("no time is left", retryAfter = null) }
+        val service = ensureNotNull(service(route, routes)) {
+            Refusal.Unavailable("no service is configured", Refusal.soon(random))
+        }
+        RoutedRequest(
+            id = RequestId(id),
+            received = received,
+            route = route,
+            service = service,
+            organisation = organisation?.name,
+            arrivedAt = now,
+            deadline = now + minOf(timeLeft, route.timeout),
+            callerDeadline = now + timeLeft,
+            priority = organisation?.priority ?: route.priority,
+            model = headers.get(names.model)?.let { ModelName(it.trim()) },
+            lastEvent = headers.get(names.lastEvent)?.trim()?.toLongOrNull(),
+        )
+    }
+
+    private fun organisation(
+        received: ReceivedRequest,
+        route: Route,
+        routes: RouteTable,
+    ): Either<Refusal, Organisation?> {
+        if (route.public || !routes.asksForKeys) return Either.Right(null)
+        val key = received.headers.getAll(names.organisationKey).singleOrNull()
+        return routes.organisation(key)?.right() ?: Refusal.UnknownKey().left()
+    }
+
+    private fun service(route: Route, routes: RouteTable): ServiceProfile? {
+        val total = route.split.sumOf { it.weight }
+        var point = random.nextDouble() * total
+        val chosen = route.split.firstOrNull { part ->
+            point -= part.weight
+            point < 0
+        } ?: route.split.lastOrNull()
+        return chosen?.let { routes.service(it.service) }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetPool.kt
@@ -0,0 +1,140 @@
+package boragering.gateway
+
+import boragering.fleet.Address
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpRequestEncoder
+import java.net.InetSocketAddress
+import kotlin.time.Duration
+
+/** What all pools of a gateway share. */
+internal class PoolContext(
+    val loop: GatewayLoop,
+    val connectTimeout: Duration,
+    val onConnect: () -> Unit = {},
+)
+
+/**
+ * The connections to one target. Not safe for use by several threads: all calls come from the event loop.
+ *
+ * @property requestIdHeader header in which answers repeat the request's id.
+ */
+internal class TargetPool(
+    private val context: PoolContext,
+    private val address: Address,
+    val requestIdHeader: String? = null,
+) {
+    private val idle = ArrayDeque<TargetConnection>()
+    private val open = HashSet<TargetConnection>()
+    private var connecting = 0
+    private var closed = false
+
+    /** Connections that are open or being opened. */
+    val size: Int get() = open.size + connecting
+
+    fun now(): Duration = context.loop.now()
+
+    /** Sends [call] over an idle or a new connection, of which there are [limit] at most. */
+    fun send(call: TargetCall, limit: Int): CallHandle {
+        val handle = CallHandle(call)
+        val connection = takeIdle(call)
+        when {
+            connection != null -> handle.begin(connection)
+            size >= limit -> handle.fail("all $limit connections to $address are in use")
+            else -> connect(handle)
+        }
+        return handle
+    }
+
+    fun release(connection: TargetConnection) {
+        if (closed) connection.close() else idle.addLast(connection)
+    }
+
+    fun closed(connection: TargetConnection) {
+        open.remove(connection)
+        idle.remove(connection)
+    }
+
+    /** Closes idle connections, and those in use when their calls have ended. */
+    fun close() {
+        closed = true
+        idle.toList().forEach { it.close() }
+    }
+
+    private fun takeIdle(call: TargetCall): TargetConnection? {
+        val now = now()
+        while (idle.isNotEmpty()) {
+            val candidate = idle.last()
+            if (candidate.usable(now, call.idleLimit)) return idle.removeLast()
+            if (candidate.usable(now, null)) return null
+            idle.removeLast().close()
+        }
+        return null
+    }
+
+    private fun connect(handle: CallHandle) {
+        connecting += 1
+        context.onConnect()
+        val decoder = AnswerDecoder()
+        Bootstrap().group(context.loop.group)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, context.connectTimeout.inWholeMilliseconds.toInt())
+            .option(ChannelOption.TCP_NODELAY, true)
+            .handler(initializer(decoder))
+            .connect(InetSocketAddress(address.host, address.port))
+            .addListener { future ->
+                connecting -= 1
+                val channel = (future as io.netty.channel.ChannelFuture).channel()
+                if (future.isSuccess) {
+                    handle.begin(channel.pipeline().get(TargetConnection::class.java))
+                } else {
+                    handle.fail("no connection to $address: ${future.cause().message}")
+                }
+            }
+    }
+
+    private fun initializer(decoder: AnswerDecoder): ChannelInitializer<Channel> =
+        object : ChannelInitializer<Channel>() {
+            override fun initChannel(channel: Channel) {
+                val connection = TargetConnection(this@TargetPool, channel, decoder)
+                open += connection
+                channel.pipeline().addLast(decoder, HttpRequestEncoder(), connection)
+            }
+        }
+}
+
+/** A call in progress. */
+internal class CallHandle(private val call: TargetCall) {
+    private var connection: TargetConnection? = null
+    private var cancelled = false
+
+    /** Whether bytes of the request were given to a connection. */
+    val sent: Boolean get() = connection != null
+
+    /** Ends the call without an answer; [TargetCall] gets no more events. */
+    fun cancel() {
+        cancelled = true
+        connection?.cancel(call)
+    }
+
+    /** Stops or resumes reading of the answer. */
+    fun reading(on: Boolean) {
+        connection?.reading(on)
+    }
+
+    fun begin(opened: TargetConnection) {
+        if (cancelled) {
+            opened.close()
+        } else {
+            connection = opened
+            opened.start(call)
+        }
+    }
+
+    fun fail(reason: String) {
+        if (!cancelled) call.onFailure(CallFailure.NotSent(reason))
+    }
+}
