--- a/gateway/src/main/kotlin/boragering/gateway/PlannerLoop.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PlannerLoop.kt
@@ -140,15 +140,15 @@
             val planner = planners.getOrPut(service.name) { GroupPlanner(fence) }
             suspicions.mapNotNull { planner.servedBy(it) }.flatten().forEach { scope.launch { probe(it) } }
             val step = planner.step(PoolState(engine, list.of(service.name), unreachable.keys), now)
-            carryOut(planner, step, scope)
+            carryOut(planner, step, service.healthPath ?: DEFAULT_HEALTH_PATH, scope)
         }
     }
 
-    private fun carryOut(planner: GroupPlanner, step: PlanningStep, scope: CoroutineScope) {
+    private fun carryOut(planner: GroupPlanner, step: PlanningStep, healthPath: String, scope: CoroutineScope) {
         step.notes.forEach { ports.log.state(it.decision, "group" to it.group, "reason" to it.reason) }
         step.orders.forEach { addressed -> scope.launch { order(planner, addressed) } }
         step.inquiries.filter { inquiring.add(it.group) }.forEach { inquiry ->
-            scope.launch { inquire(planner, inquiry) }
+            scope.launch { inquire(planner, inquiry, healthPath) }
         }
     }
 
@@ -175,11 +175,14 @@
         probing.remove(member.start)
     }
 
-    /** A head that is not listed may still run, cut off from the list only; then it has to leave its group. */
-    private suspend fun inquire(planner: GroupPlanner, inquiry: Inquiry) {
+    /**
+     * A head that is not listed may still run, cut off from the list only; then it has to leave its group. Its members are
+     * not used for other groups while it may serve.
+     */
+    private suspend fun inquire(planner: GroupPlanner, inquiry: Inquiry, healthPath: String) {
         val report = ports.orders.report(inquiry.head).getOrNull()
         val ended = when {
-            report == null -> unanswered.merge(inquiry.group, 1, Int::plus) == INQUIRIES
+            report == null -> ended(inquiry, ports.orders.liveness(inquiry.head, healthPath))
             report.start != null && report.start != inquiry.head.start -> true
             report.membership?.group != inquiry.group -> true
             else -> left(inquiry)
@@ -189,6 +192,16 @@
         inquiring.remove(inquiry.group)
     }
 
+    private fun ended(inquiry: Inquiry, liveness: Liveness): Boolean {
+        ports.log.state("head-not-listed", "group" to inquiry.group, "head" to inquiry.head.start, "liveness" to liveness)
+        when (liveness) {
+            Liveness.RUNS -> unanswered.remove(inquiry.group)
+            Liveness.REPLACED -> return true
+            Liveness.SILENT -> unanswered.merge(inquiry.group, 1, Int::plus)
+        }
+        return (unanswered[inquiry.group] ?: 0) >= INQUIRIES
+    }
+
     private suspend fun left(inquiry: Inquiry): Boolean {
         unanswered.remove(inquiry.group)
         val order = AddressedOrder(inquiry.head, Order.Leave(inquiry.group))
@@ -196,6 +209,8 @@
     }
 
     private companion object {
+        const val DEFAULT_HEALTH_PATH = "/health"
+
         /** Inquiries without an answer after which an instance that is not listed counts as ended. */
         const val INQUIRIES = 2
 
