Let members leave a group whose head cannot be reached

Its members now leave the group themselves before they join another; a head without members runs nothing. Inquiries about heads are gone. Ruled out: waiting longer (cuts have no bound).

--- a/fleet/src/main/kotlin/boragering/fleet/Formation.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/Formation.kt
@@ -41,9 +41,6 @@
     /** Whether the head may have been told to open without a certain answer. */
     var openUncertain = adopted
 
-    /** Whether the head is known to have ended or left, though it is not listed. */
-    var headEnded = false
-
     /** The last order to each member. */
     val sent = HashMap<InstanceId, SentOrder>()
 
--- a/fleet/src/main/kotlin/boragering/fleet/FormationStep.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/FormationStep.kt
@@ -15,9 +15,6 @@
 
     /** The members are free. */
     data object Release : Step
-
-    /** The head is not listed; find out whether it still runs, and make it leave if it does. */
-    data class Inquire(val head: Instance) : Step
 }
 
 /** Decides the next step of one formation from what the list shows. */
@@ -83,11 +80,8 @@
         val head = state.present(formation.head.start)
         val membership = head?.membership?.takeIf { it.group == formation.group }
         return when {
-            head == null && formation.headEnded -> Step.Release
-            // A head that does not answer may still serve others; only its end is a reason to use its members.
-            head == null && state.listed(formation.head.start) -> Step.Wait
-            head == null -> Step.Inquire(formation.head)
-            left(formation) -> Step.Release
+            head == null -> leaveWithoutHead(formation)
+            left(formation, head) -> Step.Release
             membership == null -> Step.Release
             membership.state == MemberState.OPEN || membership.state == MemberState.CLOSING -> close(formation, head)
             formation.openUncertain -> order(formation, head, Order.Leave(formation.group))
@@ -108,8 +102,24 @@
             Step.Wait
         }
 
-    private fun left(formation: Formation): Boolean {
-        val last = formation.sent[formation.head.id] ?: return false
+    /**
+     * A head that is not listed or does not answer may still be open, and return. Its members leave it first, so that
+     * they never belong to two groups; a head without members runs nothing.
+     */
+    private fun leaveWithoutHead(formation: Formation): Step {
+        val remaining = formation.members.drop(1).mapNotNull { state.present(it.start) }
+            .filter { it.membership?.group == formation.group && !left(formation, it) }
+        val order = Order.Leave(formation.group)
+        val due = remaining.filter { due(formation.sent[it.id], order, LIST_LIMIT) }
+        return when {
+            remaining.isEmpty() -> Step.Release
+            due.isEmpty() -> Step.Wait
+            else -> Step.Send(due.map { AddressedOrder(it, order) })
+        }
+    }
+
+    private fun left(formation: Formation, member: Instance): Boolean {
+        val last = formation.sent[member.id] ?: return false
         return last.order is Order.Leave && last.outcome == OrderOutcome.Accepted
     }
 
--- a/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
@@ -9,21 +9,12 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/**
- * What a step of the planner asks for.
- *
- * @property inquiries heads of ending groups that are not listed any more: whether they still run has to be found out.
- * @property notes changes of what the planner believes, for the log.
- */
+/** What a step of the planner asks for; [notes] are changes of what it believes, for the log. */
 data class PlanningStep(
     val orders: PersistentList<AddressedOrder> = persistentListOf(),
-    val inquiries: PersistentList<Inquiry> = persistentListOf(),
     val notes: PersistentList<PlanningNote> = persistentListOf(),
 )
 
-/** Asks whether [head] still runs; if it does, it has to leave [group]. */
-data class Inquiry(val head: Instance, val group: GroupEpoch)
-
 /** What the planner decided about [group], and why. */
 data class PlanningNote(val group: GroupEpoch, val decision: String, val reason: String)
 
@@ -32,8 +23,8 @@
  *
  * One planner of a deployment acts at a time. Each composition of a group has a name and an epoch of its own, which are
  * higher than those of earlier planners ([fence]), so that an order carried out late affects no later composition. The
- * members of a group join another one only after its head has left or is known to have ended. Not safe for use by
- * several threads.
+ * members of a group join another one only after its head has left, or after they have left themselves. Not safe for use
+ * by several threads.
  *
  * @param fence grows from planner to planner.
  */
@@ -53,13 +44,10 @@
         adopt(state, now)
         val steps = formations.values.toList().map { it to advance(it, state, now) }
         val orders = steps.flatMap { (formation, step) -> send(formation, step, state, now) }
-        val inquiries = steps.mapNotNull { (formation, step) ->
-            (step as? Step.Inquire)?.let { Inquiry(it.head, formation.group) }
-        }
         val composed = compose(state, now)
         val recorded = notes.toPersistentList()
         notes.clear()
-        return PlanningStep((orders + composed).toPersistentList(), inquiries.toPersistentList(), recorded)
+        return PlanningStep((orders + composed).toPersistentList(), recorded)
     }
 
     /** Takes the outcome of an order that [step] asked for. */
@@ -74,11 +62,6 @@
     fun servedBy(head: InstanceStart): List<Instance>? =
         formations.values.firstOrNull { it.head.start == head && it.phase == FormationPhase.SERVING }?.members
 
-    /** Takes the result of an inquiry: the head of [group] has ended or left the group. */
-    fun headEnded(group: GroupEpoch) {
-        formations[group]?.headEnded = true
-    }
-
     /**
      * Whether the pool has not grown for a moment. Instances that list themselves one after the other would otherwise be
      * put into whatever groups the first ones allow.
--- a/fleet/src/main/kotlin/boragering/fleet/PoolState.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/PoolState.kt
@@ -14,7 +14,4 @@
 
     /** The instance as it is listed now; `null` when this start of it is not listed or does not answer. */
     fun present(start: InstanceStart): Instance? = listed[start]?.takeIf { start !in unreachable }
-
-    /** Whether this start of the instance is listed, answering or not. */
-    fun listed(start: InstanceStart): Boolean = start in listed
 }
--- /dev/null
+++ b/fleet/src/test/kotlin/boragering/fleet/FakePool.kt
@@ -0,0 +1,250 @@
+package boragering.fleet
+
+import boragering.core.AvailabilityZone
+import boragering.core.FabricDomain
+import boragering.core.InstanceId
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** The models of the test pool: one of four instances with two thirds of the work, and one of two. */
+internal object TestModels {
+    val large = ModelProfile(ModelName("large"), groupSize = 4, share = 0.67, loadTime = 16.seconds, warmupTime = 1.6.seconds)
+    val small = ModelProfile(ModelName("small"), groupSize = 2, share = 0.33, loadTime = 12.seconds, warmupTime = 1.1.seconds)
+    val engine = EngineProfile(
+        slots = 18,
+        models = persistentMapOf(large.name to large, small.name to small),
+        loadsPerSecond = 4.0,
+        loadsAtOnce = 6,
+        formationTime = 300.milliseconds,
+    )
+    val service = ServiceName("text")
+}
+
+/** An engine instance that follows the engines' published rules, without a network. */
+internal class FakeInstance(val id: InstanceId, val domain: FabricDomain, val startedAt: Long) {
+    private var readyAt: Duration? = null
+    private var openAt: Duration? = null
+    private var highestEpoch = 0L
+    private var group: Order.Join? = null
+    private var state: MemberState? = null
+    private var loaded: ModelName? = null
+    private var stagedAt: Pair<ModelName, Duration>? = null
+    private var staged: ModelName? = null
+
+    var alive = true
+    var leaving = false
+
+    /** Until when neither orders nor the list get through, though the instance runs. */
+    var cutUntil = Duration.ZERO
+    var orders = 0L
+        private set
+
+    val membership: GroupMembership?
+        get() = group?.let { GroupMembership(it.group, it.members.indexOf(id), checkNotNull(state)) }
+
+    /** Whether the instance takes requests for a group as its head. */
+    val serving: Boolean get() = alive && (state == MemberState.OPEN || state == MemberState.CLOSING)
+
+    fun advance(now: Duration) {
+        stagedAt?.takeIf { it.second <= now }?.let {
+            staged = it.first
+            stagedAt = null
+        }
+        if (readyAt.let { it != null && it <= now }) {
+            readyAt = null
+            loaded = group?.model
+            staged = staged ?: loaded
+            state = MemberState.READY
+        }
+        if (openAt.let { it != null && it <= now }) {
+            openAt = null
+            if (state == MemberState.READY) state = MemberState.OPEN
+        }
+    }
+
+    fun carryOut(order: Order, now: Duration, profiles: Map<ModelName, ModelProfile>): OrderOutcome = when (order) {
+        is Order.Join -> join(order, now, profiles.getValue(order.model))
+        is Order.Open -> onGroup(order.group) {
+            if (state == MemberState.READY) openAt = now + 300.milliseconds
+            if (state == MemberState.JOINING) OrderOutcome.Refused("not ready") else OrderOutcome.Accepted
+        }
+        is Order.Close -> onGroup(order.group) { OrderOutcome.Accepted.also { state = MemberState.READY } }
+        is Order.Leave -> onGroup(order.group) {
+            OrderOutcome.Accepted.also {
+                group = null
+                state = null
+                readyAt = null
+                openAt = null
+            }
+        }
+        is Order.Stage -> {
+            orders += 1
+            stagedAt = order.model to now + profiles.getValue(order.model).loadTime
+            OrderOutcome.Accepted
+        }
+    }
+
+    private fun join(order: Order.Join, now: Duration, model: ModelProfile): OrderOutcome {
+        if (order.group.epoch < highestEpoch) return OrderOutcome.Superseded
+        orders += 1
+        highestEpoch = order.group.epoch
+        group = order
+        state = MemberState.JOINING
+        openAt = null
+        readyAt = now + when (order.model) {
+            loaded -> 200.milliseconds
+            staged -> model.warmupTime
+            else -> model.loadTime
+        }
+        return OrderOutcome.Accepted
+    }
+
+    private fun onGroup(named: GroupEpoch, action: () -> OrderOutcome): OrderOutcome =
+        if (group?.group == named) action() else OrderOutcome.Refused("not a member")
+
+    fun listed(): Instance = Instance(
+        start = InstanceStart(id, startedAt),
+        service = TestModels.service,
+        address = Address(id.value, 1),
+        availabilityZone = AvailabilityZone("z"),
+        state = if (leaving) InstanceState.LEAVING else InstanceState.SERVING,
+        domain = domain,
+        loaded = loaded?.let { persistentSetOf(it) } ?: persistentSetOf(),
+        staged = staged?.let { persistentSetOf(it) } ?: persistentSetOf(),
+        membership = membership,
+    )
+}
+
+/**
+ * A pool of engine instances in virtual time, whose list lags and whose orders may get lost or be carried out late. It
+ * notes each breach of the rules that hold between groups.
+ */
+internal class FakePool(private val random: Random, domains: Int = 3, perDomain: Int = 8) {
+    private class Late(val instance: FakeInstance, val order: Order, val expected: Long, val at: Duration)
+
+    private val late = ArrayList<Late>()
+    private val everReady = HashSet<Pair<GroupEpoch, InstanceId>>()
+    private val lists = ArrayDeque<Pair<Duration, List<Instance>>>()
+    private val diedAt = HashMap<InstanceId, Duration>()
+    private var started = 0L
+    private var planner = GroupPlanner(fence = 1)
+    private var fence = 1L
+
+    val instances = ArrayList<FakeInstance>()
+    val breaches = ArrayList<String>()
+    var now = Duration.ZERO
+        private set
+
+    /** Part of the orders that get no answer and are carried out late. */
+    var lateShare = 0.0
+
+    init {
+        repeat(domains) { domain -> repeat(perDomain) { add(FabricDomain("d$domain")) } }
+    }
+
+    fun add(domain: FabricDomain) {
+        started += 1
+        instances += FakeInstance(InstanceId("i$started"), domain, started)
+    }
+
+    /** Another gateway becomes the planner; what the former one remembers is lost. */
+    fun replacePlanner() {
+        fence += 1
+        planner = GroupPlanner(fence)
+    }
+
+    /** Cuts an instance off from the list and from the planner for [time]; it goes on. */
+    fun cut(instance: FakeInstance, time: Duration) {
+        instance.cutUntil = now + time
+        diedAt[instance.id] = now
+    }
+
+    fun kill(instance: FakeInstance) {
+        instance.alive = false
+        diedAt[instance.id] = now
+    }
+
+    /** Whole groups that the list shows, by model. */
+    fun targets(): Map<ModelName?, Int> = table().all.groupingBy { it.model }.eachCount()
+
+    fun run(time: Duration) {
+        val end = now + time
+        while (now < end) step()
+    }
+
+    private fun step() {
+        now += STEP
+        late.filter { it.at <= now }.forEach { if (it.instance.orders == it.expected) apply(it.instance, it.order) }
+        late.removeAll { it.at <= now }
+        instances.filter { it.alive }.forEach { instance ->
+            instance.advance(now)
+            val membership = instance.membership
+            if (membership != null && membership.state != MemberState.JOINING) everReady += membership.group to instance.id
+        }
+        lists.addLast(now to instances.filter(::listed).map { it.listed() })
+        while (lists.size > 1 && lists[1].first <= now - LIST_LAG) lists.removeFirst()
+        checkTargets()
+        plan()
+    }
+
+    private fun listed(instance: FakeInstance): Boolean =
+        (instance.alive && instance.cutUntil <= now) || now - diedAt.getValue(instance.id) < LISTED_AFTER_DEATH
+
+    private fun plan() {
+        val step = planner.step(PoolState(TestModels.engine, lists.first().second), now)
+        step.orders.forEach { planner.answered(it, send(it)) }
+    }
+
+    private fun send(addressed: AddressedOrder): OrderOutcome {
+        val instance = instances.first { it.id == addressed.instance.id }
+        return when {
+            !instance.alive || instance.cutUntil > now -> OrderOutcome.NotSent("no answer")
+            random.nextDouble() < lateShare -> {
+                val delay = 2.seconds + 10.seconds * random.nextDouble()
+                late += Late(instance, addressed.order, instance.orders, now + delay)
+                OrderOutcome.Unanswered("lost")
+            }
+            else -> apply(instance, addressed.order)
+        }
+    }
+
+    private fun apply(instance: FakeInstance, order: Order): OrderOutcome {
+        if (!instance.alive) return OrderOutcome.NotSent("no answer")
+        if (order is Order.Join) checkJoin(instance, order)
+        return instance.carryOut(order, now, TestModels.engine.models)
+    }
+
+    private fun checkJoin(instance: FakeInstance, order: Order.Join) {
+        val former = instance.membership?.group ?: return
+        val head = instances.firstOrNull { it.membership?.group == former && it.membership?.rank == 0 } ?: return
+        if (order.group != former && head.serving) {
+            breaches += "$now: ${instance.id} joins ${order.group} while ${head.id} serves $former"
+        }
+    }
+
+    private fun checkTargets() {
+        table().all.forEach { target ->
+            val group = checkNotNull(target.group)
+            val size = TestModels.engine.models.getValue(checkNotNull(target.model)).groupSize
+            val ready = target.members.count { group to it.id in everReady }
+            if (ready != size) breaches += "$now: $group is a target with $ready of $size members"
+        }
+    }
+
+    private fun table(): TargetTable {
+        val listed = lists.firstOrNull()?.second.orEmpty().associateBy { it.id }
+        val profile = ServiceProfile(TestModels.service, connections = 10, engine = TestModels.engine)
+        val list = InstanceList(1, persistentMapOf<InstanceId, Instance>().putAll(listed))
+        return TargetTable.of(list, mapOf(profile.name to profile))
+    }
+
+    private companion object {
+        val STEP = 100.milliseconds
+        val LIST_LAG = 300.milliseconds
+        val LISTED_AFTER_DEATH = 3.seconds
+    }
+}
--- /dev/null
+++ b/fleet/src/test/kotlin/boragering/fleet/GroupPlannerTest.kt
@@ -0,0 +1,121 @@
+package boragering.fleet
+
+import boragering.core.FabricDomain
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.maps.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+
+class GroupPlannerTest : DescribeSpec({
+    val large = TestModels.large.name
+    val small = TestModels.small.name
+
+    fun FakePool.memberOf(model: Int): FakeInstance =
+        instances.first { member ->
+            val group = member.membership?.group
+            member.alive && group != null && instances.count { it.alive && it.membership?.group == group } == model
+        }
+
+    describe("a pool without groups") {
+        it("is divided by the models' shares with spares left (guards against small groups in place of large ones)") {
+            val pool = FakePool(Random(1))
+            pool.run(60.seconds)
+            pool.targets() shouldContainExactly mapOf(large to 3, small to 3)
+            pool.breaches.shouldBeEmpty()
+        }
+
+        it("is divided alike when instances list themselves one by one (guards against a division of a part)") {
+            val pool = FakePool(Random(1), domains = 0)
+            repeat(24) {
+                pool.add(FabricDomain("d${it % 3}"))
+                pool.run(0.2.seconds)
+            }
+            pool.run(90.seconds)
+            pool.targets() shouldContainExactly mapOf(large to 3, small to 3)
+        }
+    }
+
+    describe("a group that loses a member") {
+        it("is formed anew with a spare instance after a warm-up (guards against loads for each loss)") {
+            val pool = FakePool(Random(2))
+            pool.run(120.seconds)
+            pool.kill(pool.memberOf(model = 4))
+            pool.run(10.seconds)
+            pool.targets()[large] shouldBe 3
+            pool.breaches.shouldBeEmpty()
+        }
+
+        it("leaves its members free for others when no spare is left (guards against stranded instances)") {
+            val pool = FakePool(Random(3), domains = 1)
+            pool.run(90.seconds)
+            repeat(3) {
+                pool.kill(pool.memberOf(model = 4))
+                pool.run(40.seconds)
+            }
+            (pool.targets().values.sum()) shouldBeGreaterThanOrEqual 1
+            pool.breaches.shouldBeEmpty()
+        }
+    }
+
+    describe("a head that is cut off from the list and from the planner") {
+        it("keeps no member that another group uses when it returns (guards against instances in two groups)") {
+            val pool = FakePool(Random(6))
+            pool.run(120.seconds)
+            val head = pool.instances.first { it.serving }
+            pool.cut(head, 9.seconds)
+            pool.run(60.seconds)
+            pool.breaches.shouldBeEmpty()
+            pool.targets().values.sum() shouldBeGreaterThanOrEqual 5
+        }
+    }
+
+    describe("a member that leaves") {
+        it("ends its group by closing the head first (guards against members that join while the head serves)") {
+            val pool = FakePool(Random(4))
+            pool.run(120.seconds)
+            pool.memberOf(model = 4).leaving = true
+            pool.run(15.seconds)
+            pool.targets()[large] shouldBe 3
+            pool.breaches.shouldBeEmpty()
+        }
+    }
+
+    describe("a new planner") {
+        it("keeps the groups that serve (guards against needless regrouping)") {
+            val pool = FakePool(Random(5))
+            pool.run(120.seconds)
+            val before = pool.instances.map { it.membership }
+            pool.replacePlanner()
+            pool.run(20.seconds)
+            pool.instances.map { it.membership } shouldBe before
+        }
+    }
+
+    describe("losses, leaving members, late orders and new planners together") {
+        (1..40).forEach { seed ->
+            it("never break the rules between groups, and the pool serves again (seed $seed)") {
+                val random = Random(seed)
+                val pool = FakePool(random)
+                pool.run(40.seconds)
+                pool.lateShare = 0.3
+                repeat(12) {
+                    when (random.nextInt(5)) {
+                        0 -> pool.kill(pool.instances.filter { it.alive }.random(random))
+                        1 -> pool.instances.filter { it.alive }.random(random).leaving = true
+                        2 -> pool.replacePlanner()
+                        3 -> pool.cut(pool.instances.filter { it.alive }.random(random), 8.seconds * random.nextDouble())
+                        else -> pool.add(FabricDomain("d${random.nextInt(3)}"))
+                    }
+                    pool.run(2.seconds)
+                }
+                pool.lateShare = 0.0
+                pool.run(120.seconds)
+                pool.breaches.shouldBeEmpty()
+                (pool.targets()[large] ?: 0) shouldBeGreaterThanOrEqual 1
+            }
+        }
+    }
+})
--- /dev/null
+++ b/fleet/src/test/kotlin/boragering/fleet/LoadGateTest.kt
@@ -0,0 +1,36 @@
+package boragering.fleet
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class LoadGateTest : DescribeSpec({
+    val engine = TestModels.engine
+
+    describe("loads that wait to begin") {
+        it("begin at the store's rate in each window (guards against a burst over the ceiling)") {
+            val gate = LoadGate()
+            val starts = ArrayList<Duration>()
+            repeat(200) { step ->
+                val now = 100.milliseconds * step
+                while (gate.take(now, running = 0, engine)) starts += now
+            }
+            starts.forEach { from ->
+                starts.count { it >= from && it < from + 5.seconds } shouldBeLessThanOrEqual (engine.loadsPerSecond * 5).toInt()
+            }
+        }
+
+        it("wait while as many run as the store serves at once (guards against loads that slow each other)") {
+            LoadGate().take(Duration.ZERO, running = engine.loadsAtOnce, engine) shouldBe false
+        }
+
+        it("count those that another planner began (guards against two planners' bursts)") {
+            val gate = LoadGate()
+            gate.assume(Duration.ZERO, loads = 20)
+            gate.take(1.seconds, running = 0, engine) shouldBe false
+        }
+    }
+})
--- /dev/null
+++ b/fleet/src/test/kotlin/boragering/fleet/RouteTableTest.kt
@@ -0,0 +1,65 @@
+package boragering.fleet
+
+import boragering.core.OrganisationName
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.shouldBe
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlin.time.Duration.Companion.seconds
+
+class RouteTableTest : DescribeSpec({
+    fun route(host: String, prefix: String) = Route(
+        name = "$host$prefix",
+        host = host,
+        prefix = prefix,
+        repeatability = Repeatability.IDEMPOTENT,
+        split = persistentListOf(),
+        attempts = 1,
+        timeout = 1.seconds,
+        targetLatency = 1.seconds,
+    )
+
+    fun table(vararg routes: Route) = RouteTable(
+        Configuration(
+            version = 1,
+            routes = routes.toList().toPersistentList(),
+            services = persistentMapOf(),
+            limits = CallerLimits(1, 1, 1.seconds, 1.seconds),
+            organisations = persistentListOf(Organisation(OrganisationName("o"), persistentSetOf("k1", "k2"))),
+        ),
+    )
+
+    describe("a path") {
+        val table = table(route("a.example", "/x/"), route("a.example", "/x/y/"), route("b.example", "/"))
+
+        listOf("/x/1" to "a.example/x/", "/x/y/1" to "a.example/x/y/", "/x/y" to "a.example/x/").forEach { (path, name) ->
+            it("$path selects the longest prefix of its host (guards against a wrong service)") {
+                table.route("a.example", path)?.name shouldBe name
+            }
+        }
+
+        it("matches whole path parts only (guards against /xy taken for /x/)") {
+            table.route("a.example", "/xy/1").shouldBeNull()
+        }
+
+        it("is not looked up at another host (guards against routes that leak)") {
+            table.route("c.example", "/x/1").shouldBeNull()
+        }
+
+        it("is found whatever the host's case and port (guards against proper requests refused)") {
+            table.route("A.Example:80", "/x/1")?.name shouldBe "a.example/x/"
+            table.route("b.example", "/anything")?.name shouldBe "b.example/"
+        }
+    }
+
+    describe("a key") {
+        it("names its organisation, and an unknown one none (guards against refused or foreign keys)") {
+            table().organisation("k2")?.name shouldBe OrganisationName("o")
+            table().organisation("k3").shouldBeNull()
+            table().organisation(null).shouldBeNull()
+        }
+    }
+})
--- a/gateway/src/main/kotlin/boragering/gateway/OrderPort.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/OrderPort.kt
@@ -36,18 +36,6 @@
 /** An instance did not answer. */
 data class ReportFailure(val reason: String)
 
-/** Whether an instance still takes requests. */
-enum class Liveness {
-    /** It takes connections. */
-    RUNS,
-
-    /** Another instance has its address. */
-    REPLACED,
-
-    /** It takes no connection. */
-    SILENT,
-}
-
 /** Port to the engine instances. Implementations bound each call by a timeout of their own. */
 interface OrderPort {
     /** Sends [order] of the planner with [fence], valid only if the instance has begun [orders] orders. */
@@ -55,10 +43,4 @@
 
     /** Asks an instance for its state. */
     suspend fun report(instance: Instance): Either<ReportFailure, EngineReport>
-
-    /**
-     * Finds out over the way that requests take, at [healthPath], whether an instance runs; an instance may take requests
-     * though neither orders nor its own entry in the list get through.
-     */
-    suspend fun liveness(instance: Instance, healthPath: String): Liveness
 }
--- a/gateway/src/main/kotlin/boragering/gateway/PlannerLoop.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PlannerLoop.kt
@@ -5,13 +5,10 @@
 import boragering.core.Store
 import boragering.fleet.AddressedOrder
 import boragering.fleet.Configuration
-import boragering.fleet.GroupEpoch
 import boragering.fleet.GroupPlanner
-import boragering.fleet.Inquiry
 import boragering.fleet.Instance
 import boragering.fleet.InstanceList
 import boragering.fleet.InstanceStart
-import boragering.fleet.Order
 import boragering.fleet.OrderOutcome
 import boragering.fleet.PlanningStep
 import boragering.fleet.PoolState
@@ -123,10 +120,8 @@
 private class PlannerTerm(private val fence: Long, private val ports: PlannerPorts, private val held: () -> Boolean) {
     private val planners = HashMap<ServiceName, GroupPlanner>()
     private val dispatcher = OrderDispatcher(ports.orders, fence, ports.log)
-    private val inquiring = HashSet<GroupEpoch>()
     private val probing = HashSet<InstanceStart>()
     private val unreachable = HashMap<InstanceStart, Duration>()
-    private val unanswered = HashMap<GroupEpoch, Int>()
 
     /** Whether an instance has seen a newer planner. */
     var superseded = false
@@ -140,16 +135,13 @@
             val planner = planners.getOrPut(service.name) { GroupPlanner(fence) }
             suspicions.mapNotNull { planner.servedBy(it) }.flatten().forEach { scope.launch { probe(it) } }
             val step = planner.step(PoolState(engine, list.of(service.name), unreachable.keys), now)
-            carryOut(planner, step, service.healthPath ?: DEFAULT_HEALTH_PATH, scope)
+            carryOut(planner, step, scope)
         }
     }
 
-    private fun carryOut(planner: GroupPlanner, step: PlanningStep, healthPath: String, scope: CoroutineScope) {
+    private fun carryOut(planner: GroupPlanner, step: PlanningStep, scope: CoroutineScope) {
         step.notes.forEach { ports.log.state(it.decision, "group" to it.group, "reason" to it.reason) }
         step.orders.forEach { addressed -> scope.launch { order(planner, addressed) } }
-        step.inquiries.filter { inquiring.add(it.group) }.forEach { inquiry ->
-            scope.launch { inquire(planner, inquiry, healthPath) }
-        }
     }
 
     private suspend fun order(planner: GroupPlanner, addressed: AddressedOrder) {
@@ -171,54 +163,16 @@
             unreachable[member.start] = ports.loop.now() + UNREACHABLE_TIME
             ports.log.state("instance-unreachable", "instance" to member.start, "probes" to failures)
         }
-        delay(INQUIRY_INTERVAL)
+        delay(PROBE_INTERVAL)
         probing.remove(member.start)
     }
 
-    /**
-     * A head that is not listed may still run, cut off from the list only; then it has to leave its group. Its members are
-     * not used for other groups while it may serve.
-     */
-    private suspend fun inquire(planner: GroupPlanner, inquiry: Inquiry, healthPath: String) {
-        val report = ports.orders.report(inquiry.head).getOrNull()
-        val ended = when {
-            report == null -> ended(inquiry, ports.orders.liveness(inquiry.head, healthPath))
-            report.start != null && report.start != inquiry.head.start -> true
-            report.membership?.group != inquiry.group -> true
-            else -> left(inquiry)
-        }
-        if (ended) planner.headEnded(inquiry.group)
-        delay(INQUIRY_INTERVAL)
-        inquiring.remove(inquiry.group)
-    }
-
-    private fun ended(inquiry: Inquiry, liveness: Liveness): Boolean {
-        ports.log.state("head-not-listed", "group" to inquiry.group, "head" to inquiry.head.start, "liveness" to liveness)
-        when (liveness) {
-            Liveness.RUNS -> unanswered.remove(inquiry.group)
-            Liveness.REPLACED -> return true
-            Liveness.SILENT -> unanswered.merge(inquiry.group, 1, Int::plus)
-        }
-        return (unanswered[inquiry.group] ?: 0) >= INQUIRIES
-    }
-
-    private suspend fun left(inquiry: Inquiry): Boolean {
-        unanswered.remove(inquiry.group)
-        val order = AddressedOrder(inquiry.head, Order.Leave(inquiry.group))
-        return held() && dispatcher.send(order) == OrderOutcome.Accepted
-    }
-
     private companion object {
-        const val DEFAULT_HEALTH_PATH = "/health"
-
-        /** Inquiries without an answer after which an instance that is not listed counts as ended. */
-        const val INQUIRIES = 2
-
         /** Probes without an answer after which a member of a failing group counts as lost. */
         const val PROBES = 2
 
         /** Time after which an instance that did not answer is tried again, if it is still listed. */
         val UNREACHABLE_TIME = 6.seconds
-        val INQUIRY_INTERVAL = 300.milliseconds
+        val PROBE_INTERVAL = 300.milliseconds
     }
 }
--- /dev/null
+++ b/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
@@ -0,0 +1,153 @@
+package boragering.gateway
+
+import boragering.adapters.MetricRegistry
+import boragering.adapters.SystemClock
+import boragering.core.AvailabilityZone
+import boragering.core.InstanceId
+import boragering.core.OrganisationName
+import boragering.fleet.Address
+import boragering.fleet.CallerLimits
+import boragering.fleet.Configuration
+import boragering.fleet.Instance
+import boragering.fleet.InstanceList
+import boragering.fleet.InstanceStart
+import boragering.fleet.InstanceState
+import boragering.fleet.Organisation
+import boragering.fleet.Repeatability
+import boragering.fleet.RetryLimits
+import boragering.fleet.Route
+import boragering.fleet.ServiceName
+import boragering.fleet.ServiceProfile
+import boragering.fleet.WeightedService
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+internal val TEST_NAMES = HeaderNames(
+    requestId = "Id",
+    timeLeft = "Time-Left",
+    organisationKey = "Key",
+    organisation = "Organisation",
+    expectedInstance = "Instance",
+    priority = "Urgency",
+    lastEvent = "Last-Event-Id",
+    model = "Model",
+    notRun = "Not-Run",
+    load = "Load",
+    signature = "Signature",
+    failedInstance = "Failed-Instance",
+)
+
+/** A gateway on loopback before [targets], which serve one route of each repeatability: `/idempotent/`, and so on. */
+internal class GatewayFixture(
+    private vararg val targets: ScriptedTarget,
+    private val timeout: Duration = 5.seconds,
+    private val attempts: Int = 2,
+    private val limits: CallerLimits = CallerLimits(8_192, 100_000, 5.seconds, 10.seconds),
+    configured: Boolean = true,
+) : AutoCloseable {
+    private val loop = GatewayLoop(SystemClock)
+    private val service = ServiceName("service")
+    private val settings = GatewaySettings(
+        availabilityZone = AvailabilityZone("z"),
+        names = TEST_NAMES,
+        retries = RetryLimits(ratio = 0.2, slack = 50.0, window = 10.seconds),
+    )
+    private val ports =
+        GatewayPorts(loop, DecisionLog(SystemClock), GatewayMetrics(MetricRegistry()), Random(1), { 1 })
+    val gateway = Gateway(settings, ports)
+    val address = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
+
+    init {
+        gateway.listen(address)
+        if (configured) {
+            onLoop {
+                gateway.configure(configuration())
+                gateway.instances(list())
+            }
+        }
+    }
+
+    fun onLoop(action: () -> Unit) {
+        val done = CountDownLatch(1)
+        loop.execute {
+            action()
+            done.countDown()
+        }
+        done.await()
+    }
+
+    /** Connects a caller. */
+    fun caller(): RawCaller = RawCaller(Socket(address.host, address.port))
+
+    override fun close() = loop.close()
+
+    private fun list(): InstanceList {
+        val instances = targets.mapIndexed { index, target ->
+            val start = InstanceStart(InstanceId("i$index"), 1)
+            Instance(start, service, target.address, AvailabilityZone("z"), InstanceState.SERVING, slots = 4)
+        }
+        return InstanceList(1, persistentMapOf<InstanceId, Instance>().putAll(instances.associateBy { it.id }))
+    }
+
+    private fun configuration() = Configuration(
+        version = 1,
+        routes = persistentListOf<Route>().addAll(Repeatability.entries.map(::route)),
+        services = persistentMapOf(service to ServiceProfile(service, connections = 50)),
+        limits = limits,
+        organisations = persistentListOf(Organisation(OrganisationName("town"), persistentSetOf("secret"))),
+    )
+
+    private fun route(repeatability: Repeatability) = Route(
+        name = repeatability.name.lowercase(),
+        host = "x.example",
+        prefix = "/${repeatability.name.lowercase()}/",
+        repeatability = repeatability,
+        split = persistentListOf(WeightedService(service, 1.0)),
+        attempts = attempts,
+        timeout = timeout,
+        targetLatency = 300.milliseconds,
+        targetGap = 200.milliseconds,
+    )
+}
+
+/** A caller that writes and reads bytes itself. */
+internal class RawCaller(private val socket: Socket) : AutoCloseable {
+    init {
+        socket.soTimeout = READ_TIMEOUT_MILLISECONDS
+    }
+
+    fun write(text: String) = socket.getOutputStream().apply { write(text.toByteArray()) }.flush()
+
+    /** Sends a request for [path] with the proper headers and [more]. */
+    fun request(path: String, vararg more: String, method: String = "POST", body: String = "", key: String = "secret") {
+        val headers = listOf("$method $path HTTP/1.1", "Host: x.example", "Id: r1", "Time-Left: 4000", "Key: $key") + more
+        val length = if (body.isEmpty()) emptyList() else listOf("Content-Length: ${body.length}")
+        write((headers + length).joinToString("\r\n") + "\r\n\r\n" + body)
+    }
+
+    /** The next answer; `null` when the connection ends before one begins. */
+    fun answer(): ReadMessage? = readMessage(socket.getInputStream())
+
+    /** Sends a request and reads its answer. */
+    fun call(path: String, vararg more: String, body: String = ""): ReadMessage {
+        request(path, *more, body = body)
+        return checkNotNull(answer())
+    }
+
+    override fun close() = socket.close()
+
+    private companion object {
+        const val READ_TIMEOUT_MILLISECONDS = 10_000
+    }
+}
+
+/** The status of an answer. */
+internal val ReadMessage.status: Int get() = startLine.split(' ')[1].toInt()
--- /dev/null
+++ b/gateway/src/test/kotlin/boragering/gateway/GatewayTest.kt
@@ -0,0 +1,278 @@
+package boragering.gateway
+
+import boragering.fleet.CallerLimits
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.doubles.shouldBeLessThan
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.measureTime
+
+class GatewayTest : DescribeSpec({
+    fun <T> with(fixture: GatewayFixture, action: GatewayFixture.() -> T): T = fixture.use(action)
+
+    describe("a request") {
+        it("reaches the target unchanged but for the gateway's own headers (guards against changed requests)") {
+            ScriptedTarget { answer(200, "done", "Signature: abc") }.use { target ->
+                with(GatewayFixture(target)) {
+                    val answer = caller().call("/idempotent/a?b=c", "Organisation: other", "X: y", body = "payload")
+                    answer.status shouldBe 200
+                    answer.body shouldBe "done"
+                    answer.header("signature") shouldBe "abc"
+                }
+                val seen = target.requests.single()
+                seen.startLine shouldBe "POST /idempotent/a?b=c HTTP/1.1"
+                seen.body shouldBe "payload"
+                seen.header("organisation") shouldBe "town"
+                seen.header("key").shouldBeNull()
+                seen.header("x") shouldBe "y"
+                seen.header("instance") shouldBe "i0"
+                seen.header("time-left").shouldNotBeNull().toInt() shouldBeLessThanOrEqual 4_000
+            }
+        }
+
+        listOf(
+            "an unknown key is refused with 401" to Triple("/idempotent/a", "wrong", 401),
+            "no route is refused with 404" to Triple("/other/a", "secret", 404),
+        ).forEach { (what, case) ->
+            it("with $what and never runs (guards against foreign or dropped routes that run)") {
+                ScriptedTarget { answer(200, "done") }.use { target ->
+                    with(GatewayFixture(target)) {
+                        val caller = caller()
+                        caller.request(case.first, key = case.second)
+                        caller.answer()?.status shouldBe case.third
+                    }
+                    target.requests shouldHaveSize 0
+                }
+            }
+        }
+
+        it("before any configuration is known is refused with 503 (guards against 404 for proper requests)") {
+            with(GatewayFixture(configured = false)) { caller().call("/idempotent/a").status shouldBe 503 }
+        }
+
+        it("with two stated lengths of its body never runs (guards against smuggled requests)") {
+            ScriptedTarget { answer(200, "done") }.use { target ->
+                with(GatewayFixture(target)) {
+                    val caller = caller()
+                    caller.request("/idempotent/a", "Content-Length: 3", "Content-Length: 30", body = "")
+                    caller.answer()?.status shouldBe 400
+                }
+                target.requests shouldHaveSize 0
+            }
+        }
+    }
+
+    describe("a target that refuses") {
+        it("makes way for another one (guards against refusals while targets are free)") {
+            val refusing = ScriptedTarget { answer(503, "", "Not-Run: 1") }
+            val serving = ScriptedTarget { answer(200, "done") }
+            with(GatewayFixture(refusing, serving)) {
+                repeat(6) { caller().call("/non_idempotent/a").status shouldBe 200 }
+            }
+        }
+
+        it("leads to 503 with a time to return when there is no other (guards against an untrue 502)") {
+            with(GatewayFixture(ScriptedTarget { answer(503, "", "Not-Run: 1") })) {
+                val answer = caller().call("/non_idempotent/a")
+                answer.status shouldBe 503
+                answer.header("retry-after").shouldNotBeNull().toDouble() shouldBeLessThan 1.0
+            }
+        }
+    }
+
+    describe("a target that closes the connection without an answer") {
+        it("never gets or lets another get a non-idempotent request again (guards against double bookings)") {
+            val first = ScriptedTarget { close() }
+            val second = ScriptedTarget { close() }
+            with(GatewayFixture(first, second)) { caller().call("/non_idempotent/a").status shouldBe 502 }
+            (first.requests.size + second.requests.size) shouldBe 1
+        }
+
+        it("makes way for another one when the request is idempotent (guards against needless failures)") {
+            val closing = ScriptedTarget { close() }
+            val serving = ScriptedTarget { answer(200, "done") }
+            with(GatewayFixture(closing, serving)) {
+                repeat(4) { caller().call("/idempotent/a").status shouldBe 200 }
+            }
+        }
+    }
+
+    describe("an answer") {
+        it("to another request is dropped and the right one awaited (guards against mixed answers)") {
+            val target = ScriptedTarget {
+                write("HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 5\r\n\r\nwrong")
+                answer(200, "right")
+            }
+            with(GatewayFixture(target)) { caller().call("/idempotent/a").body shouldBe "right" }
+        }
+
+        it("that follows a complete one is never given to the next request (guards against extra answers)") {
+            val target = ScriptedTarget { number ->
+                answer(200, "answer$number")
+                write("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 5\r\n\r\nextra")
+            }
+            with(GatewayFixture(target)) {
+                val caller = caller()
+                repeat(5) { caller.call("/idempotent/a").body shouldBe "answer${it + 1}" }
+            }
+        }
+
+        it("that breaks off is not passed on as complete (guards against cut bodies)") {
+            val target = ScriptedTarget {
+                write("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 50\r\n\r\npart")
+                close()
+            }
+            with(GatewayFixture(target)) { caller().call("/non_idempotent/a").status shouldBe 502 }
+        }
+
+        it("without a length that ends with a reset is not complete (guards against cut bodies)") {
+            val target = ScriptedTarget {
+                write("HTTP/1.1 200 OK\r\nId: r1\r\n\r\npart")
+                reset()
+            }
+            with(GatewayFixture(target)) { caller().call("/non_idempotent/a").status shouldBe 502 }
+        }
+
+        it("without a length that ends with its connection is complete (guards against refused good answers)") {
+            val target = ScriptedTarget {
+                write("HTTP/1.1 200 OK\r\nId: r1\r\n\r\nwhole")
+                close()
+            }
+            with(GatewayFixture(target)) { caller().call("/non_idempotent/a").body shouldBe "whole" }
+        }
+
+        it("of failure keeps its status and signature (guards against changed failures)") {
+            with(GatewayFixture(ScriptedTarget { answer(500, "broken", "Signature: s") })) {
+                val answer = caller().call("/idempotent/a")
+                answer.status shouldBe 500
+                answer.header("signature") shouldBe "s"
+                answer.body shouldBe "broken"
+            }
+        }
+    }
+
+    describe("a stream") {
+        it("that breaks off goes on at the next event of another target (guards against lost and doubled events)") {
+            val script: Script.(Int) -> Unit = {
+                val last = request.header("last-event-id")?.toInt() ?: 0
+                beginStream()
+                if (last == 0) {
+                    event("id: 1\ndata: a\n\n")
+                    event("id: 2\ndata: b\n\nid: 3\nda")
+                    reset()
+                } else {
+                    // Repeats an event that the caller has.
+                    event("id: $last\ndata: again\n\n")
+                    event("id: 3\ndata: c\n\n")
+                    endStream()
+                }
+            }
+            val targets = List(2) { ScriptedTarget(script) }
+            with(GatewayFixture(targets[0], targets[1])) {
+                caller().call("/resumable_stream/a").body shouldBe
+                    "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+            }
+            targets.sumOf { it.requests.size } shouldBe 2
+        }
+
+        it("that may not be resumed breaks off visibly (guards against streams that look complete)") {
+            val script: Script.(Int) -> Unit = {
+                beginStream()
+                event("id: 1\ndata: a\n\n")
+                reset()
+            }
+            with(GatewayFixture(ScriptedTarget(script), ScriptedTarget(script))) {
+                val caller = caller()
+                caller.request("/single_stream/a")
+                runCatching { caller.answer() }.isFailure shouldBe true
+            }
+        }
+
+        it("whose target falls silent goes on elsewhere (guards against streams that wait for a lost member)") {
+            val script: Script.(Int) -> Unit = {
+                if (request.header("last-event-id") == null) {
+                    beginStream()
+                    event("id: 1\ndata: a\n\n")
+                    closedWithin(5_000)
+                } else {
+                    beginStream()
+                    event("id: 2\ndata: b\n\n")
+                    endStream()
+                }
+            }
+            with(GatewayFixture(ScriptedTarget(script), ScriptedTarget(script))) {
+                val time = measureTime {
+                    caller().call("/resumable_stream/a").body shouldBe "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+                }
+                (time < 3.seconds) shouldBe true
+            }
+        }
+    }
+
+    describe("a caller that leaves") {
+        it("ends the work at the target within half a second (guards against work for nobody)") {
+            val closed = ArrayBlockingQueue<Boolean>(1)
+            val target = ScriptedTarget {
+                beginStream()
+                event("id: 1\ndata: a\n\n")
+                closed.put(closedWithin(500))
+            }
+            with(GatewayFixture(target)) {
+                val caller = caller()
+                caller.request("/resumable_stream/a")
+                while (target.requests.isEmpty()) Thread.onSpinWait()
+                caller.close()
+                closed.poll(5, TimeUnit.SECONDS) shouldBe true
+            }
+        }
+    }
+
+    describe("a route's timeout") {
+        it("ends a request that was sent with 504 (guards against an untrue refusal)") {
+            val target = ScriptedTarget { closedWithin(5_000) }
+            with(GatewayFixture(target, timeout = 600.milliseconds)) {
+                val time = measureTime { caller().call("/non_idempotent/a").status shouldBe 504 }
+                (time < 1_100.milliseconds) shouldBe true
+            }
+        }
+    }
+
+    describe("a caller that is slow") {
+        val limits = CallerLimits(8_192, 1_000, headerTimeout = 400.milliseconds, idleTimeout = 800.milliseconds)
+
+        it("with the head of a request is answered 408 (guards against half-sent requests kept for ever)") {
+            with(GatewayFixture(limits = limits)) {
+                val caller = caller()
+                caller.write("POST /idempotent/a HT")
+                caller.answer()?.status shouldBe 408
+            }
+        }
+
+        it("to send another request is closed after the idle time (guards against connections kept for ever)") {
+            with(GatewayFixture(limits = limits)) {
+                val caller = caller()
+                val time = measureTime { caller.answer().shouldBeNull() }
+                (time > 700.milliseconds) shouldBe true
+            }
+        }
+
+        it("sends more than the limit and is answered 413 (guards against memory used up by bodies)") {
+            with(GatewayFixture(limits = limits)) {
+                caller().call("/idempotent/a", body = "x".repeat(2_000)).status shouldBe 413
+            }
+        }
+
+        it("sends longer headers than the limit and is answered 431 (guards against memory used up by headers)") {
+            with(GatewayFixture(limits = limits)) {
+                caller().call("/idempotent/a", "Long: ${"x".repeat(9_000)}").status shouldBe 431
+            }
+        }
+    }
+})
--- /dev/null
+++ b/gateway/src/test/kotlin/boragering/gateway/MirrorTest.kt
@@ -0,0 +1,72 @@
+package boragering.gateway
+
+import boragering.core.StoreRevision
+import boragering.core.StoredValue
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.shouldBe
+import kotlinx.collections.immutable.persistentListOf
+
+class MirrorTest : DescribeSpec({
+    fun document(key: String, revision: Long) = StoredValue(key, "v$revision", StoreRevision(revision))
+
+    fun written(key: String, revision: Long) = DocumentChange.Written(document(key, revision))
+
+    fun removed(key: String, revision: Long) = DocumentChange.Removed(key, StoreRevision(revision))
+
+    fun changes(revision: Long, vararg changes: DocumentChange) =
+        DocumentChanges(persistentListOf(*changes), StoreRevision(revision))
+
+    describe("changes") {
+        it("never replace a newer document (guards against configurations that go back)") {
+            val mirror = Mirror()
+            mirror.apply(changes(5, written("a", 5)))
+            mirror.apply(changes(4, written("a", 4), removed("a", 4)))
+            mirror["a"]?.value shouldBe "v5"
+            mirror.revision shouldBe StoreRevision(5)
+        }
+
+        it("reach listeners once each (guards against work done twice for the same change)") {
+            val mirror = Mirror()
+            val heard = ArrayList<Long>()
+            mirror.listen { heard += it.revision.value }
+            mirror.apply(changes(5, written("a", 5)))
+            mirror.apply(changes(6, written("a", 5), removed("a", 6)))
+            heard shouldContainExactly listOf(5L, 6L)
+        }
+    }
+
+    describe("documents that were read anew") {
+        it("remove what is missing from them (guards against instances that stay listed after lost history)") {
+            val mirror = Mirror()
+            mirror.apply(changes(5, written("a", 4), written("b", 5)))
+            mirror.replace(DocumentSnapshot(persistentListOf(document("b", 5)), StoreRevision(9)))
+            mirror["a"].shouldBeNull()
+            mirror["b"]?.value shouldBe "v5"
+        }
+
+        it("do not replace newer ones (guards against a read that was overtaken)") {
+            val mirror = Mirror()
+            mirror.apply(changes(9, written("a", 9)))
+            mirror.replace(DocumentSnapshot(persistentListOf(), StoreRevision(8)))
+            mirror["a"]?.value shouldBe "v9"
+        }
+    }
+
+    describe("what another gateway is told") {
+        it("holds removals as well (guards against keys that stay valid on a gateway cut off from the store)") {
+            val mirror = Mirror()
+            mirror.replace(DocumentSnapshot(persistentListOf(document("a", 1), document("b", 2)), StoreRevision(2)))
+            mirror.apply(changes(4, removed("a", 3), written("b", 4)))
+            mirror.since(StoreRevision(2))?.changes?.map { it.key to it.revision.value } shouldBe
+                listOf("a" to 3L, "b" to 4L)
+        }
+
+        it("is everything when its revision is older than what is remembered (guards against missed removals)") {
+            val mirror = Mirror()
+            mirror.replace(DocumentSnapshot(persistentListOf(document("a", 1)), StoreRevision(5)))
+            mirror.since(StoreRevision(4)).shouldBeNull()
+        }
+    }
+})
--- /dev/null
+++ b/gateway/src/test/kotlin/boragering/gateway/ScriptedTarget.kt
@@ -0,0 +1,112 @@
+package boragering.gateway
+
+import boragering.fleet.Address
+import java.io.InputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.concurrent.thread
+
+/** A request as a target or a caller reads it. */
+internal class ReadMessage(val startLine: String, val headers: Map<String, String>, val body: String) {
+    fun header(name: String): String? = headers[name.lowercase()]
+}
+
+/** Reads one HTTP message with a length, in chunks, or up to the end; `null` at the end of the stream. */
+internal fun readMessage(input: InputStream): ReadMessage? {
+    val start = readLine(input) ?: return null
+    val headers = generateSequence { readLine(input)?.takeIf { it.isNotEmpty() } }
+        .associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
+    val body = when {
+        headers["transfer-encoding"] == "chunked" -> readChunks(input)
+        headers["content-length"] != null -> input.readNBytes(headers.getValue("content-length").toInt()).decodeToString()
+        start.startsWith("HTTP") -> input.readBytes().decodeToString()
+        else -> ""
+    }
+    return ReadMessage(start, headers, body)
+}
+
+private fun readChunks(input: InputStream): String = buildString {
+    while (true) {
+        val size = readLine(input)?.toIntOrNull(radix = 16) ?: error("the chunks break off after: $this")
+        append(input.readNBytes(size).decodeToString())
+        readLine(input)
+        if (size == 0) return@buildString
+    }
+}
+
+private fun readLine(input: InputStream): String? {
+    val line = StringBuilder()
+    while (true) {
+        val byte = input.read()
+        if (byte < 0) return null
+        if (byte == '\n'.code) return line.toString().trimEnd('\r')
+        line.append(byte.toChar())
+    }
+}
+
+/** What a [ScriptedTarget] does with one request. */
+internal class Script(val request: ReadMessage, private val socket: Socket) {
+    fun write(text: String) = socket.getOutputStream().apply { write(text.toByteArray()) }.flush()
+
+    fun close() = socket.close()
+
+    fun reset() {
+        socket.setSoLinger(true, 0)
+        socket.close()
+    }
+
+    /** Waits until the other side closes the connection; whether it did within [milliseconds]. */
+    fun closedWithin(milliseconds: Int): Boolean {
+        socket.soTimeout = milliseconds
+        return try {
+            socket.getInputStream().read() < 0
+        } catch (_: java.net.SocketTimeoutException) {
+            false
+        } catch (_: java.net.SocketException) {
+            true
+        }
+    }
+
+    /** Answers with [status] and [body]. */
+    fun answer(status: Int, body: String, vararg headers: String) {
+        val lines = listOf("HTTP/1.1 $status X", "Id: ${request.header("id")}", "Content-Length: ${body.length}") + headers
+        write(lines.joinToString("\r\n") + "\r\n\r\n" + body)
+    }
+
+    /** Begins a stream of events; [event] adds to it. */
+    fun beginStream() =
+        write("HTTP/1.1 200 OK\r\nId: ${request.header("id")}\r\nTransfer-Encoding: chunked\r\nSignature: s\r\n\r\n")
+
+    fun event(text: String) = write("${text.length.toString(16)}\r\n$text\r\n")
+
+    fun endStream() = write("0\r\n\r\n")
+}
+
+/** A target on loopback whose behaviour is a script for each request. It counts the requests that it got. */
+internal class ScriptedTarget(private val script: Script.(Int) -> Unit) : AutoCloseable {
+    private val server = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
+    val requests = CopyOnWriteArrayList<ReadMessage>()
+    val failures = CopyOnWriteArrayList<Throwable>()
+    val address = Address("127.0.0.1", server.localPort)
+
+    init {
+        thread(isDaemon = true) {
+            while (!server.isClosed) {
+                val socket = runCatching { server.accept() }.getOrNull() ?: break
+                thread(isDaemon = true) { serve(socket) }
+            }
+        }
+    }
+
+    private fun serve(socket: Socket) = socket.use {
+        while (!socket.isClosed) {
+            val request = runCatching { readMessage(socket.getInputStream()) }.getOrNull() ?: return
+            requests += request
+            runCatching { Script(request, socket).script(requests.size) }.onFailure { failures += it }
+        }
+    }
+
+    override fun close() = server.close()
+}
