Refuse at full groups, wait for busy targets, load up to the models' shares

A request now leaves a target early only if the target is silent for all; a group gets at most 1.15 requests for each slot, when a report of the last 0.5 s says so; the rest is refused at once with a time to return.

--- a/fleet/src/main/kotlin/boragering/fleet/GroupComposer.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupComposer.kt
@@ -28,14 +28,13 @@
  *
  * Groups stay within one fabric domain. Models get instances by their share of the work. Loads of weights are scarce: the
  * store of weights serves a few at a time, and each takes many times as long as a warm-up. So groups whose members hold
- * the weights come first, and others only for models that have too few groups. Each domain keeps spare instances, so that
+ * the weights come first, and others only for models that have less than their share. Each domain keeps spare instances, so that
  * a group that loses a member is whole again after a warm-up.
  */
 internal class GroupComposer(private val input: CompositionInput) {
     private val engine = input.engine
     private val free = input.free.mapValuesTo(HashMap()) { it.value.toMutableList() }
     private val assigned = HashMap(input.assigned)
-    private val usableTotal = input.usable.values.sum()
     private var loads = input.loads
 
     /** A group that could be formed, and the number of loads that it needs. */
@@ -55,7 +54,10 @@
         take(options.filter(::permitted)) { it.loads }
     }.toList()
 
-    /** For each spare instance that holds no model, the one to stage. */
+    /**
+     * For each spare instance that holds no model, the one to stage: what its domain's groups lack, and beyond that the
+     * model of the largest groups, which lose members most often.
+     */
     fun stagings(holders: (FabricDomain, ModelName) -> Int): List<Pair<Instance, ModelName>> =
         free.flatMap { (domain, spares) -> stagings(domain, spares, holders) }
 
@@ -76,7 +78,7 @@
     }
 
     private fun permitted(option: Option): Boolean {
-        val lacking = supply(option.model) < usableTotal * LACKING_SHARE
+        val lacking = (assigned[option.model.name] ?: 0) < input.usable.keys.sumOf { inGroups(option.model, it) }
         return balanced(option) && (option.loads == 0 || lacking && option.loads <= loads)
     }
 
@@ -104,7 +106,7 @@
         val counts = models.associateTo(HashMap()) { it.name to holders(domain, it.name) }
         val empty = spares.filter { spare -> models.none { joinCost(spare, it.name) < LOAD_COST } }
         return empty.mapNotNull { spare ->
-            val model = models.firstOrNull { counts.getValue(it.name) < wanted(it, domain) } ?: models.lastOrNull()
+            val model = models.firstOrNull { counts.getValue(it.name) < inGroups(it, domain) } ?: models.lastOrNull()
             model?.let {
                 counts.merge(it.name, 1, Int::plus)
                 spare to it.name
@@ -112,10 +114,10 @@
         }
     }
 
-    /** Instances of [domain] that should hold [model]: whole groups; what is left over goes to the largest groups. */
-    private fun wanted(model: ModelProfile, domain: FabricDomain): Int {
-        val groups = (model.share * (input.usable[domain] ?: 0) / model.groupSize).toInt()
-        return groups * model.groupSize
+    /** Instances of [domain] that groups of [model] should have, by its share of the work. */
+    private fun inGroups(model: ModelProfile, domain: FabricDomain): Int {
+        val groups = model.share * (input.usable[domain] ?: 0) / model.groupSize
+        return (groups + ROUNDING).toInt() * model.groupSize
     }
 
     /** How instances are prepared for a model. */
@@ -126,8 +128,8 @@
         /** Models with more than this multiple of the scarcest model's supply leave their instances to it. */
         private const val TOLERATED_IMBALANCE = 1.5
 
-        /** A model with less than this part of its share of all instances may load weights for further groups. */
-        private const val LACKING_SHARE = 0.5
+        /** Part of a group from which on a domain should have one more. */
+        private const val ROUNDING = 0.3
         private const val STAGED_COST = 1
         private const val STAGING_COST = 2
         private const val LOAD_COST = 10
--- a/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
@@ -75,7 +75,8 @@
     }
 
     private fun adopt(state: PoolState, now: Duration) {
-        val views = GroupView.of(state.instances).filter { it.group !in formations && !over(it) }
+        val answering = state.instances.filter { state.present(it.start) != null }
+        val views = GroupView.of(answering).filter { it.group !in formations && !over(it) }
         views.forEach { view ->
             val model = view.members.firstNotNullOfOrNull { member ->
                 state.engine.models.keys.singleOrNull { it in member.loaded }
--- a/fleet/src/main/kotlin/boragering/fleet/TargetChoice.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/TargetChoice.kt
@@ -28,24 +28,49 @@
 /** A target that may be chosen, and its load. */
 data class Candidate(val target: Target, val load: TargetLoad)
 
+/** What a [TargetChoice] comes to. */
+sealed interface Choice {
+    /** The request goes to [candidate]. */
+    data class Chosen(val candidate: Candidate) : Choice
+
+    /** Each target has all the requests that it can answer in time. */
+    data object Full : Choice
+
+    /** There is no target. */
+    data object None : Choice
+}
+
 /**
  * Chooses the target of a request: the least loaded one that is not suspected, by this gateway's own requests and by
  * what the target said of others'. It answers the load of many gateways that see only their own part of the requests.
+ *
+ * Groups of engines get few more requests than they run at a time. One more that waits makes all that follow late, while
+ * a caller that is refused at once can come back when there is room.
  */
 class TargetChoice(private val availabilityZone: AvailabilityZone, private val random: Random) {
-    /** The target for a request at [now], a time of the monotonic clock; `null` when there is none. */
-    fun choose(candidates: List<Candidate>, gateways: Int, now: Duration): Candidate? {
-        val sound = candidates.filter { !it.load.suspected(now) }
-        return sound.ifEmpty { candidates }
-            .map { it to cost(it, gateways, now) + random.nextDouble() * TIE_BREAK }
+    /** The target for a request at [now], a time of the monotonic clock. */
+    fun choose(candidates: List<Candidate>, gateways: Int, now: Duration): Choice {
+        val sound = candidates.filter { !it.load.suspected(now) }.ifEmpty { candidates }
+        val open = sound.filter { !full(it, gateways, now) }
+        val chosen = open.map { it to cost(it, gateways, now) + random.nextDouble() * TIE_BREAK }
             .minByOrNull { (_, cost) -> cost }
-            ?.first
+        return when {
+            chosen != null -> Choice.Chosen(chosen.first)
+            candidates.isEmpty() -> Choice.None
+            else -> Choice.Full
+        }
     }
 
     /** Expected number of requests at [candidate] for each of its slots. */
     fun occupancy(candidate: Candidate, gateways: Int, now: Duration): Double =
         (candidate.load.own + others(candidate.load, gateways, now)) / candidate.target.slots.coerceAtLeast(1)
 
+    private fun full(candidate: Candidate, gateways: Int, now: Duration): Boolean {
+        val report = candidate.load.report
+        val known = report != null && now - report.at < REPORT_VALIDITY
+        return candidate.target.group != null && known && occupancy(candidate, gateways, now) >= FULL
+    }
+
     private fun cost(candidate: Candidate, gateways: Int, now: Duration): Double {
         val near = candidate.target.availabilityZone == availabilityZone
         return occupancy(candidate, gateways, now) + if (near) 0.0 else FAR_COST
@@ -63,6 +88,12 @@
     private companion object {
         val REPORT_MEMORY = 500.milliseconds
 
+        /** Age up to which a report is a reason to refuse requests. */
+        val REPORT_VALIDITY = 500.milliseconds
+
+        /** Requests for each slot of a group from which on it gets no more. */
+        const val FULL = 1.15
+
         /** Occupancy that a target in the same availability zone may have more than one elsewhere. */
         const val FAR_COST = 0.05
         const val TIE_BREAK = 0.02
--- a/gateway/src/main/kotlin/boragering/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Exchange.kt
@@ -1,9 +1,11 @@
 package boragering.gateway
 
 import boragering.fleet.Candidate
+import boragering.fleet.Choice
 import boragering.fleet.InstanceStart
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * One request from its arrival to its final answer. It is sent to one target at a time; to another one only when the
@@ -125,8 +127,10 @@
     private fun patience(current: TargetAttempt, now: Duration): Duration {
         val gap = routed.route.targetGap
         return when {
+            current.used.load.suspected(now) && !current.flowing -> SUSPECT_PATIENCE
+            // The target answers others: it is busy, and the request would wait elsewhere as well.
+            current.used.heardWithin(SHORTEST_PATIENCE, now) -> BUSY_PATIENCE
             current.flowing && gap != null -> maxOf(gap * GAP_FACTOR, SHORTEST_PATIENCE)
-            current.used.load.suspected(now) -> SUSPECT_PATIENCE
             else -> maxOf(routed.route.targetLatency * LATENCY_FACTOR, SHORTEST_PATIENCE)
         }
     }
@@ -165,12 +169,15 @@
     }
 
     private fun send() {
-        val now = state.now()
-        val chosen = state.choice.choose(candidates(), state.gateways(), now)
-        if (chosen == null) {
-            giveUp("no target can serve it")
-            return
+        when (val choice = state.choice.choose(candidates(), state.gateways(), state.now())) {
+            is Choice.Chosen -> send(choice.candidate)
+            Choice.Full -> giveUp("all targets are full")
+            Choice.None -> giveUp("no target can serve it")
         }
+    }
+
+    private fun send(chosen: Candidate) {
+        val now = state.now()
         val target = chosen.target
         val used = state.loads.of(target)
         val request = TargetAttempt.request(routed, target, state.names, lastEvent, now)
@@ -244,6 +251,9 @@
         /** Pause of all streams of a target after which it counts as failed. */
         val STALL = 450.milliseconds
 
+        /** Time without an answer after which a request leaves a target that answers others. */
+        val BUSY_PATIENCE = 2.seconds + 500.milliseconds
+
         /** Time without an answer after which a request leaves a target that counts as failed. */
         val SUSPECT_PATIENCE = 150.milliseconds
 
--- a/gateway/src/main/kotlin/boragering/gateway/Follower.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Follower.kt
@@ -8,8 +8,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Keeps a [Mirror] up to date from the store. While the store does not answer this gateway, [askPeer] asks another one
- * for what it knows. Runs on the event loop.
+ * Keeps a [Mirror] up to date from the store, with calls that are at least [spacing] apart. While the store does not
+ * answer this gateway, [askPeer] asks another one for what it knows. Runs on the event loop.
  */
 class Follower(
     private val feed: DocumentFeed,
@@ -17,6 +17,7 @@
     private val loop: GatewayLoop,
     private val log: DecisionLog,
     private val random: Random,
+    private val spacing: () -> Duration,
     private val askPeer: () -> Unit,
 ) {
     private var answeredAt: Duration? = null
@@ -27,7 +28,7 @@
     /** Whether the store answered not long ago. */
     val current: Boolean get() = answeredAt.let { it != null && loop.now() - it < FRESHNESS }
 
-    /** Whether the store was out of reach and has been back for a short time only. */
+    /** Whether the store was out of reach, or not asked yet, and has been back for a short time only. */
     val recovering: Boolean
         get() = lostAt != null || recoveredAt.let { it != null && loop.now() - it < RECOVERY_TIME }
 
@@ -48,7 +49,7 @@
 
     private suspend fun follow() {
         // Changes that come in quick succession are read together, since each call counts at the store.
-        loop.now().let { now -> followedAt?.let { delay((it + CALL_SPACING - now).coerceAtLeast(Duration.ZERO)) } }
+        loop.now().let { now -> followedAt?.let { delay((it + spacing() - now).coerceAtLeast(Duration.ZERO)) } }
         followedAt = loop.now()
         val result = feed.changes(PREFIX, mirror.revision, WAIT)
         when (val failure = result.leftOrNull()) {
@@ -71,6 +72,7 @@
             log.state("store-regained", "after" to now - it, "revision" to mirror.revision)
             recoveredAt = now
         }
+        if (recoveredAt == null) recoveredAt = now
         lostAt = null
     }
 
@@ -89,7 +91,6 @@
 
         /** Bounds how long a silent connection goes unnoticed. */
         val WAIT = 2.seconds
-        val CALL_SPACING = 200.milliseconds
         val RETRY_INTERVAL = 250.milliseconds
         val FRESHNESS = 3.seconds
 
--- a/gateway/src/main/kotlin/boragering/gateway/TargetLoads.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetLoads.kt
@@ -64,7 +64,10 @@
     }
 
     /** Whether bytes of the target came just before [now]. */
-    fun flowsAt(now: Duration): Boolean = now - heardAt < RECENT
+    fun flowsAt(now: Duration): Boolean = heardWithin(RECENT, now)
+
+    /** Whether bytes of the target came in the last [time] before [now]. */
+    fun heardWithin(time: Duration, now: Duration): Boolean = now - heardAt < time
 
     /** Whether streams have stood still for [limit]: a group that lost a member gives none of its streams an event. */
     fun stalled(now: Duration, limit: Duration): Boolean = flowing > 0 && now - heardAt > limit
