--- a/daemon/src/main/kotlin/boragering/daemon/ObservedStore.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/ObservedStore.kt
@@ -1,7 +1,7 @@
 package boragering.daemon
 
-import boragering.adapters.MetricRegistry
 import arrow.core.Either
+import boragering.adapters.MetricRegistry
 import boragering.core.LeaseId
 import boragering.core.Store
 import boragering.core.StoreFailure
--- a/fleet/src/main/kotlin/boragering/fleet/Configuration.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/Configuration.kt
@@ -144,4 +144,3 @@
     val keys: PersistentSet<String>,
     val priority: Int? = null,
 )
-
--- a/fleet/src/main/kotlin/boragering/fleet/Formation.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/Formation.kt
@@ -44,8 +44,9 @@
     /** The last order to each member. */
     val sent = HashMap<InstanceId, SentOrder>()
 
-    /** The head as it was last known. */
-    val head: Instance get() = members.first()
+    /** The head as it was last known; `null` when it was not listed as the group was found. */
+    val head: Instance? =
+        if (adopted) members.firstOrNull { it.membership?.rank == 0 } else members.first()
 
     fun end(now: Duration, why: String, lost: Boolean) {
         memberLost = memberLost || lost
--- /dev/null
+++ b/fleet/src/main/kotlin/boragering/fleet/FormationBook.kt
@@ -0,0 +1,80 @@
+package boragering.fleet
+
+import boragering.core.FabricDomain
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** The groups that a planner has formed or found, until their members are free. Not safe for use by several threads. */
+internal class FormationBook {
+    private val formations = LinkedHashMap<GroupEpoch, Formation>()
+    private val released = HashSet<GroupEpoch>()
+
+    /** All formations, the oldest first. */
+    val all: List<Formation> get() = formations.values.toList()
+
+    /** Whether there has never been a group. */
+    val unused: Boolean get() = formations.isEmpty() && released.isEmpty()
+
+    /** Starts of all members. */
+    val members: Set<InstanceStart>
+        get() = formations.values.flatMapTo(HashSet()) { formation -> formation.members.map { it.start } }
+
+    operator fun get(group: GroupEpoch?): Formation? = group?.let { formations[it] }
+
+    fun add(formation: Formation) {
+        formations[formation.group] = formation
+    }
+
+    fun release(formation: Formation) {
+        formations.remove(formation.group)
+        released += formation.group
+    }
+
+    /** Takes over the listed groups that another planner formed; returns them. */
+    fun adopt(state: PoolState, now: Duration): List<Formation> =
+        GroupView.of(state.answering).filter { it.group !in formations && !over(it) }.map { view ->
+            Formation(view.group, model(view, state.engine), view.members, now, adopted = true).also(::add)
+        }
+
+    /** Number of instances in groups of each model that do not end. */
+    fun assigned(): Map<ModelName, Int> =
+        formations.values.filter { it.phase != FormationPhase.ENDING }
+            .mapNotNull { formation -> formation.model?.let { it to formation.members.size } }
+            .groupBy({ it.first }, { it.second })
+            .mapValues { (_, sizes) -> sizes.sum() }
+
+    /** Domains where members of an ending group will soon be free; they are worth waiting for. */
+    fun ending(now: Duration): Set<FabricDomain> =
+        formations.values
+            .filter { it.endingSince.let { since -> since != null && now - since < RELEASE_LIMIT } }
+            .flatMapTo(HashSet()) { formation -> formation.members.map { it.groupDomain } }
+
+    /** Number of members that load weights from the store. */
+    fun loading(state: PoolState): Int =
+        formations.values.filter { it.phase == FormationPhase.FORMING }.sumOf { formation ->
+            formation.members.count { loads(it, formation, state) }
+        }
+
+    private fun loads(member: Instance, formation: Formation, state: PoolState): Boolean {
+        val model = formation.model ?: return false
+        val membership = state.present(member.start)?.membership
+        val ready = membership?.group == formation.group && membership.state != MemberState.JOINING
+        val ordered = formation.sent[member.id]?.order is Order.Join
+        return ordered && !ready && state.present(member.start) != null && !member.holds(model)
+    }
+
+    /** The model of a group of which all members are listed; `null` when some are missing. */
+    private fun model(view: GroupView, engine: EngineProfile): ModelName? =
+        view.members.firstNotNullOfOrNull { member -> engine.models.keys.singleOrNull { it in member.loaded } }
+            ?.takeIf { view.members.size == engine.models.getValue(it).groupSize }
+
+    private fun over(view: GroupView): Boolean {
+        val state = view.head?.membership?.state
+        return view.group in released && state != MemberState.OPEN && state != MemberState.CLOSING
+    }
+
+    private companion object {
+        /** Time for the head of an ending group to let its members go. */
+        val RELEASE_LIMIT = 5.seconds
+    }
+}
--- a/fleet/src/main/kotlin/boragering/fleet/GroupComposer.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupComposer.kt
@@ -26,10 +26,10 @@
 /**
  * Decides which groups to form of the instances that are free, and which models the remaining spare instances stage.
  *
- * Groups stay within one fabric domain. Models get instances by their share of the work. Loads of weights are scarce: the
- * store of weights serves a few at a time, and each takes many times as long as a warm-up. So groups whose members hold
- * the weights come first, and others only for models that have less than their share. Each domain keeps spare instances, so that
- * a group that loses a member is whole again after a warm-up.
+ * Groups stay within one fabric domain. Models get instances by their share of the work. Loads of weights are scarce:
+ * the store of weights serves a few at a time, and each takes many times as long as a warm-up. So groups whose members
+ * hold the weights come first, and others only for models that have less than their share. Each domain keeps spare
+ * instances, so that a group that loses a member is whole again after a warm-up.
  */
 internal class GroupComposer(private val input: CompositionInput) {
     private val engine = input.engine
@@ -41,11 +41,14 @@
     private class Option(val model: ModelProfile, val domain: FabricDomain, val members: List<Instance>, val loads: Int)
 
     /**
-     * The groups of a pool that has none, whatever loads they need. One domain is divided after the other, since a small
-     * group in a domain that is not divided yet could leave too few instances for a large one.
+     * The groups of a pool that has none, whatever loads they need. One domain is divided after the other, since a
+     * small group in a domain that is not divided yet could leave too few instances for a large one.
      */
     fun divide(): List<Composition> = free.keys.sortedBy { it.value }.flatMap { domain ->
-        generateSequence { take(engine.models.values.mapNotNull { option(it, domain) }.filter(::balanced)) { 0 } }.toList()
+        generateSequence {
+            val options = engine.models.values.mapNotNull { option(it, domain) }
+            take(options.filter(::balanced)) { 0 }
+        }.toList()
     }
 
     /** The groups to add to a pool that has some. */
@@ -59,7 +62,16 @@
      * model of the largest groups, which lose members most often.
      */
     fun stagings(holders: (FabricDomain, ModelName) -> Int): List<Pair<Instance, ModelName>> =
-        free.flatMap { (domain, spares) -> stagings(domain, spares, holders) }
+        free.flatMap { (domain, spares) ->
+            val models = engine.models.values.sortedBy { it.groupSize }
+            val counts = models.associateTo(HashMap()) { it.name to holders(domain, it.name) }
+            val empty = spares.filter { spare -> models.none { joinCost(spare, it.name) < LOAD_COST } }
+            empty.mapNotNull { spare ->
+                val lacking = models.firstOrNull { counts.getValue(it.name) < inGroups(it, domain) }
+                val model = (lacking ?: models.lastOrNull())?.name
+                model?.let { spare to it }.also { if (model != null) counts.merge(model, 1, Int::plus) }
+            }
+        }
 
     private fun take(options: List<Option>, cost: (Option) -> Int): Composition? {
         val order = compareBy<Option> { cost(it) }.thenBy { supply(it.model) }.thenBy { -it.model.groupSize }
@@ -97,44 +109,23 @@
         else -> LOAD_COST
     }
 
-    private fun stagings(
-        domain: FabricDomain,
-        spares: List<Instance>,
-        holders: (FabricDomain, ModelName) -> Int,
-    ): List<Pair<Instance, ModelName>> {
-        val models = engine.models.values.sortedBy { it.groupSize }
-        val counts = models.associateTo(HashMap()) { it.name to holders(domain, it.name) }
-        val empty = spares.filter { spare -> models.none { joinCost(spare, it.name) < LOAD_COST } }
-        return empty.mapNotNull { spare ->
-            val model = models.firstOrNull { counts.getValue(it.name) < inGroups(it, domain) } ?: models.lastOrNull()
-            model?.let {
-                counts.merge(it.name, 1, Int::plus)
-                spare to it.name
-            }
-        }
-    }
-
     /** Instances of [domain] that groups of [model] should have, by its share of the work. */
     private fun inGroups(model: ModelProfile, domain: FabricDomain): Int {
         val groups = model.share * (input.usable[domain] ?: 0) / model.groupSize
         return (groups + ROUNDING).toInt() * model.groupSize
     }
 
-    /** How instances are prepared for a model. */
-    companion object {
-        private const val INSTANCES_PER_SPARE = 8
-        private const val SMALLEST_SHARE = 0.01
+    private companion object {
+        const val INSTANCES_PER_SPARE = 8
+        const val SMALLEST_SHARE = 0.01
 
         /** Models with more than this multiple of the scarcest model's supply leave their instances to it. */
-        private const val TOLERATED_IMBALANCE = 1.5
+        const val TOLERATED_IMBALANCE = 1.5
 
         /** Part of a group from which on a domain should have one more. */
-        private const val ROUNDING = 0.3
-        private const val STAGED_COST = 1
-        private const val STAGING_COST = 2
-        private const val LOAD_COST = 10
-
-        /** Whether [instance] can join a group of [model] without a load from the store of weights. */
-        fun holds(instance: Instance, model: ModelName): Boolean = model in instance.loaded || model in instance.staged
+        const val ROUNDING = 0.3
+        const val STAGED_COST = 1
+        const val STAGING_COST = 2
+        const val LOAD_COST = 10
     }
 }
--- a/fleet/src/main/kotlin/boragering/fleet/GroupView.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupView.kt
@@ -22,11 +22,14 @@
 
     /** The target that the group makes; `null` unless it is whole and its head is open. */
     fun target(engine: EngineProfile): Target? {
-        val model = model(engine) ?: return null
-        val size = engine.models.getValue(model).groupSize
-        val open = head?.takeIf { it.membership?.state == MemberState.OPEN } ?: return null
-        if (!whole(size)) return null
-        return Target(
+        val model = model(engine)
+        val size = model?.let { engine.models.getValue(it).groupSize }
+        val open = head?.takeIf { it.membership?.state == MemberState.OPEN }
+        return if (open == null || size == null || !whole(size)) null else target(open, model, engine)
+    }
+
+    private fun target(open: Instance, model: ModelName, engine: EngineProfile): Target =
+        Target(
             service = open.service,
             address = open.address,
             availabilityZone = open.availabilityZone,
@@ -35,7 +38,6 @@
             model = model,
             group = group,
         )
-    }
 
     private fun steady(member: Instance): Boolean =
         member.state == InstanceState.SERVING && member.membership?.state in STEADY_STATES
--- a/fleet/src/main/kotlin/boragering/fleet/RouteTable.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/RouteTable.kt
@@ -25,14 +25,10 @@
     fun service(name: ServiceName): ServiceProfile? = configuration.services[name]
 
     /** The route with the longest prefix of [path] at [host], a host name with or without port. */
-    fun route(host: String, path: String): Route? {
-        val routes = hosts[hostName(host)] ?: return null
-        var end = path.lastIndexOf('/')
-        while (end >= 0) {
-            routes[path.substring(0, end + 1)]?.let { return it }
-            end = if (end == 0) -1 else path.lastIndexOf('/', end - 1)
-        }
-        return null
+    fun route(host: String, path: String): Route? = hosts[hostName(host)]?.let { routes ->
+        generateSequence(path.lastIndexOf('/')) { end -> path.lastIndexOf('/', end - 1) }
+            .takeWhile { it >= 0 }
+            .firstNotNullOfOrNull { end -> routes[path.substring(0, end + 1)] }
     }
 
     /** The organisation that holds [key]. */
--- a/fleet/src/main/kotlin/boragering/fleet/TargetChoice.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/TargetChoice.kt
@@ -44,8 +44,8 @@
  * Chooses the target of a request: the least loaded one that is not suspected, by this gateway's own requests and by
  * what the target said of others'. It answers the load of many gateways that see only their own part of the requests.
  *
- * Groups of engines get few more requests than they run at a time. One more that waits makes all that follow late, while
- * a caller that is refused at once can come back when there is room.
+ * Groups of engines get few more requests than they run at a time. One more that waits makes all that follow late,
+ * while a caller that is refused at once can come back when there is room.
  */
 class TargetChoice(private val availabilityZone: AvailabilityZone, private val random: Random) {
     /** The target for a request at [now], a time of the monotonic clock. */
--- a/fleet/src/test/kotlin/boragering/fleet/EventParserTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/EventParserTest.kt
@@ -8,7 +8,10 @@
     fun parse(vararg parts: String): Pair<List<Pair<String, Long?>>, Boolean> {
         val parser = EventParser()
         val events = ArrayList<Pair<String, Long?>>()
-        parts.forEach { part -> parser.feed(part.toByteArray()) { bytes, id -> events += bytes.decodeToString() to id } }
+        parts.forEach { part ->
+            val bytes = part.toByteArray()
+            parser.feed(bytes) { event, id -> events += event.decodeToString() to id }
+        }
         return events to parser.broken
     }
 
--- a/fleet/src/test/kotlin/boragering/fleet/FakePool.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/FakePool.kt
@@ -12,8 +12,20 @@
 
 /** The models of the test pool: one of four instances with two thirds of the work, and one of two. */
 internal object TestModels {
-    val large = ModelProfile(ModelName("large"), groupSize = 4, share = 0.67, loadTime = 16.seconds, warmupTime = 1.6.seconds)
-    val small = ModelProfile(ModelName("small"), groupSize = 2, share = 0.33, loadTime = 12.seconds, warmupTime = 1.1.seconds)
+    val large = ModelProfile(
+        ModelName("large"),
+        groupSize = 4,
+        share = 0.67,
+        loadTime = 16.seconds,
+        warmupTime = 1.6.seconds
+    )
+    val small = ModelProfile(
+        ModelName("small"),
+        groupSize = 2,
+        share = 0.33,
+        loadTime = 12.seconds,
+        warmupTime = 1.1.seconds
+    )
     val engine = EngineProfile(
         slots = 18,
         models = persistentMapOf(large.name to large, small.name to small),
@@ -139,6 +151,9 @@
     var now = Duration.ZERO
         private set
 
+    /** Whether there is a planner. */
+    var planned = true
+
     /** Part of the orders that get no answer and are carried out late. */
     var lateShare = 0.0
 
@@ -183,12 +198,13 @@
         instances.filter { it.alive }.forEach { instance ->
             instance.advance(now)
             val membership = instance.membership
-            if (membership != null && membership.state != MemberState.JOINING) everReady += membership.group to instance.id
+            val ready = membership != null && membership.state != MemberState.JOINING
+            if (ready) everReady += checkNotNull(membership).group to instance.id
         }
         lists.addLast(now to instances.filter(::listed).map { it.listed() })
         while (lists.size > 1 && lists[1].first <= now - LIST_LAG) lists.removeFirst()
         checkTargets()
-        plan()
+        if (planned) plan()
     }
 
     private fun listed(instance: FakeInstance): Boolean =
--- a/fleet/src/test/kotlin/boragering/fleet/GroupPlannerTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/GroupPlannerTest.kt
@@ -72,6 +72,21 @@
         }
     }
 
+    describe("a group whose head is not listed when a new planner begins") {
+        it("lets all its members leave (guards against the second member taken for the head)") {
+            val pool = FakePool(Random(7))
+            pool.run(120.seconds)
+            val heads = pool.instances.filter { it.serving }
+            heads.forEach { pool.cut(it, 20.seconds) }
+            pool.planned = false
+            pool.run(5.seconds)
+            pool.planned = true
+            pool.replacePlanner()
+            pool.run(60.seconds)
+            pool.breaches.shouldBeEmpty()
+        }
+    }
+
     describe("a member that leaves") {
         it("ends its group by closing the head first (guards against members that join while the head serves)") {
             val pool = FakePool(Random(4))
@@ -105,8 +120,16 @@
                     when (random.nextInt(5)) {
                         0 -> pool.kill(pool.instances.filter { it.alive }.random(random))
                         1 -> pool.instances.filter { it.alive }.random(random).leaving = true
-                        2 -> pool.replacePlanner()
-                        3 -> pool.cut(pool.instances.filter { it.alive }.random(random), 8.seconds * random.nextDouble())
+                        2 -> {
+                            pool.planned = false
+                            pool.run(5.seconds * random.nextDouble())
+                            pool.planned = true
+                            pool.replacePlanner()
+                        }
+                        3 -> pool.cut(
+                            pool.instances.filter { it.alive }.random(random),
+                            8.seconds * random.nextDouble()
+                        )
                         else -> pool.add(FabricDomain("d${random.nextInt(3)}"))
                     }
                     pool.run(2.seconds)
--- a/fleet/src/test/kotlin/boragering/fleet/LoadGateTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/LoadGateTest.kt
@@ -19,7 +19,8 @@
                 while (gate.take(now, running = 0, engine)) starts += now
             }
             starts.forEach { from ->
-                starts.count { it >= from && it < from + 5.seconds } shouldBeLessThanOrEqual (engine.loadsPerSecond * 5).toInt()
+                val begun = starts.count { it >= from && it < from + 5.seconds }
+                begun shouldBeLessThanOrEqual (engine.loadsPerSecond * 5).toInt()
             }
         }
 
--- a/fleet/src/test/kotlin/boragering/fleet/RetryAllowanceTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/RetryAllowanceTest.kt
@@ -24,7 +24,8 @@
             (0..100).forEach { step ->
                 val from = 100.milliseconds * step
                 val requests = 5 * (10.seconds / 50.milliseconds)
-                taken.count { it >= from && it < from + 10.seconds } shouldBeLessThanOrEqual (0.2 * requests + 100).toInt()
+                val retries = taken.count { it >= from && it < from + 10.seconds }
+                retries shouldBeLessThanOrEqual (0.2 * requests + 100).toInt()
             }
         }
     }
--- a/fleet/src/test/kotlin/boragering/fleet/RouteTableTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/RouteTableTest.kt
@@ -35,7 +35,11 @@
     describe("a path") {
         val table = table(route("a.example", "/x/"), route("a.example", "/x/y/"), route("b.example", "/"))
 
-        listOf("/x/1" to "a.example/x/", "/x/y/1" to "a.example/x/y/", "/x/y" to "a.example/x/").forEach { (path, name) ->
+        listOf(
+            "/x/1" to "a.example/x/",
+            "/x/y/1" to "a.example/x/y/",
+            "/x/y" to "a.example/x/"
+        ).forEach { (path, name) ->
             it("$path selects the longest prefix of its host (guards against a wrong service)") {
                 table.route("a.example", path)?.name shouldBe name
             }
--- a/fleet/src/test/kotlin/boragering/fleet/TargetTableTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/TargetTableTest.kt
@@ -32,6 +32,7 @@
 
     describe("a group of two") {
         val head = member(0, MemberState.OPEN)
+        val leaving = member(1, MemberState.READY).copy(state = InstanceState.LEAVING)
 
         it("is a target when the head is open and the other is ready (guards against groups left unused)") {
             targets(head, member(1, MemberState.READY)) shouldHaveSize 1
@@ -41,7 +42,7 @@
             "misses a member" to arrayOf(head),
             "has a member that still joins" to arrayOf(head, member(1, MemberState.JOINING)),
             "has a member of another epoch" to arrayOf(head, member(1, MemberState.READY, epoch = 2)),
-            "has a member that leaves" to arrayOf(head, member(1, MemberState.READY).copy(state = InstanceState.LEAVING)),
+            "has a member that leaves" to arrayOf(head, leaving),
             "has a head that is not open" to arrayOf(member(0, MemberState.READY), member(1, MemberState.READY)),
             "has a closing head" to arrayOf(member(0, MemberState.CLOSING), member(1, MemberState.READY)),
         ).forEach { (what, instances) ->
--- /dev/null
+++ b/gateway/src/main/kotlin/boragering/gateway/AnswerProgress.kt
@@ -0,0 +1,86 @@
+package boragering.gateway
+
+import kotlin.random.Random
+
+/** What the caller of one request has received so far. Runs on the event loop. */
+internal class AnswerProgress(private val answer: CallerAnswer, private val random: Random, lastEvent: Long?) {
+    private var failure: TargetFailure? = null
+    private var numbered = true
+
+    /** Whether events were passed on. */
+    var streaming = false
+        private set
+
+    /** Id of the last event that the caller has. */
+    var lastEvent = lastEvent
+        private set
+
+    /** Whether the stream can go on at another target. */
+    val resumable: Boolean get() = !streaming || numbered
+
+    /** Whether the caller reads as fast as events come. */
+    val writable: Boolean get() = answer.writable
+
+    /** Passes an event on unless the caller has it; whether it is the first one. */
+    fun event(head: AnswerHead, bytes: ByteArray, id: Long?): Boolean {
+        val last = lastEvent
+        if (id != null && last != null && id <= last) return false
+        val first = !streaming
+        if (first) answer.begin(head)
+        streaming = true
+        if (id == null) numbered = false else lastEvent = id
+        answer.event(bytes)
+        return first
+    }
+
+    /** The stream is complete. */
+    fun end(head: AnswerHead) {
+        if (!streaming) answer.begin(head)
+        answer.end()
+    }
+
+    /** Passes a complete answer on. */
+    fun whole(head: AnswerHead, body: ByteArray) = answer.whole(head, body)
+
+    /** Keeps a target's own failure until it is certain that no other target answers. */
+    fun keep(head: AnswerHead, body: ByteArray) {
+        failure = TargetFailure(head, body)
+    }
+
+    /** Ends the answer because nobody can complete it; the outcome and the status that the caller gets. */
+    fun giveUp(reason: String, mayHaveRun: Boolean): Ending {
+        val own = failure
+        return when {
+            streaming -> breakOff()
+            own != null -> Ending("target-failed", own.head.status).also { answer.whole(own.head, own.body) }
+            mayHaveRun -> refuse(Refusal.Failed(reason))
+            else -> refuse(Refusal.Unavailable(reason, Refusal.soon(random)))
+        }
+    }
+
+    /** Ends the answer because the time is over. */
+    fun expire(mayHaveRun: Boolean): Ending = when {
+        streaming -> breakOff()
+        mayHaveRun -> refuse(Refusal.TimedOut("no answer in time"))
+        else -> refuse(Refusal.Unavailable("not sent in time", retryAfter = null))
+    }
+
+    private fun breakOff(): Ending {
+        answer.abort()
+        return Ending("stream-broken", NO_STATUS)
+    }
+
+    private fun refuse(refusal: Refusal): Ending {
+        answer.refuse(refusal)
+        return Ending("refused", refusal.status)
+    }
+
+    private class TargetFailure(val head: AnswerHead, val body: ByteArray)
+
+    private companion object {
+        const val NO_STATUS = 0
+    }
+}
+
+/** How an answer ended, and its status; 0 when the caller saw only the connection close. */
+internal data class Ending(val outcome: String, val status: Int)
--- /dev/null
+++ b/gateway/src/main/kotlin/boragering/gateway/AnswerReader.kt
@@ -0,0 +1,81 @@
+package boragering.gateway
+
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpUtil
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Decodes answers; the one to a HEAD request has no body whatever its headers say. */
+internal class AnswerDecoder : HttpResponseDecoder() {
+    /** Whether the next answer has no body. */
+    var withoutBody = false
+
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
+        withoutBody || super.isContentAlwaysEmpty(message)
+}
+
+/** What the head of an answer is to a call. */
+internal sealed interface HeadMeaning {
+    /** It begins the answer. */
+    data object Own : HeadMeaning
+
+    /** It belongs to an earlier request, or the answer proper follows. */
+    data object Skipped : HeadMeaning
+
+    /** The call has no answer on this connection. */
+    data class Unusable(val reason: String) : HeadMeaning
+}
+
+/** Finds out whether answers belong to the calls of a connection, and how long the connection may be used. */
+internal class AnswerReader(private val requestIdHeader: String?, private val decoder: AnswerDecoder) {
+    /** Time for which the target keeps the connection open without a request. */
+    var keepAliveTime = DEFAULT_KEEP_ALIVE
+        private set
+
+    /** Whether the connection can carry another call after the present answer. */
+    var reusable = true
+        private set
+
+    /** What [response] is to the call with [requestId]. */
+    fun meaning(response: HttpResponse, requestId: String?): HeadMeaning {
+        val echoed = requestIdHeader?.let { response.headers().get(it) }
+        val status = response.status().code()
+        return when {
+            response.decoderResult().isFailure ->
+                HeadMeaning.Unusable("what came is no answer: ${response.decoderResult().cause()}")
+            status < FIRST_FINAL_STATUS -> HeadMeaning.Skipped
+            requestId != null && echoed != null && echoed != requestId -> HeadMeaning.Skipped
+            requestId != null && echoed == null && status < FIRST_FAILURE_STATUS ->
+                HeadMeaning.Unusable("the answer does not name the request")
+            else -> HeadMeaning.Own
+        }
+    }
+
+    /** Reads what [response] says of the connection. */
+    fun accept(response: HttpResponse) {
+        val headers = response.headers()
+        val bodiless = decoder.withoutBody || response.status().code() in BODILESS
+        reusable = HttpUtil.isKeepAlive(response) && (Hop.framed(headers) || bodiless)
+        headers.get("Keep-Alive")?.let { keepAliveTime = keepAlive(it) ?: keepAliveTime }
+    }
+
+    private fun keepAlive(header: String): Duration? =
+        header.split(',').map { it.trim() }.firstOrNull { it.startsWith("timeout=") }
+            ?.substringAfter('=')?.toIntOrNull()
+            ?.let { (it.seconds - KEEP_ALIVE_MARGIN).coerceAtLeast(Duration.ZERO) }
+
+    private companion object {
+        const val FIRST_FINAL_STATUS = 200
+        const val FIRST_FAILURE_STATUS = 300
+        val BODILESS = setOf(204, 304)
+
+        /** For targets that do not say how long they keep an idle connection. */
+        val DEFAULT_KEEP_ALIVE = 3.seconds
+
+        /** Time for a request to reach the target before it closes the idle connection. */
+        val KEEP_ALIVE_MARGIN = 400.milliseconds
+    }
+}
--- a/gateway/src/main/kotlin/boragering/gateway/AnswerWriter.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/AnswerWriter.kt
@@ -46,7 +46,8 @@
     override fun refuse(refusal: Refusal) {
         val body = "${refusal.reason}\n".toByteArray()
         val content = Unpooled.wrappedBuffer(body)
-        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(refusal.status), content)
+        val response =
+            DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(refusal.status), content)
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain")
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size.toString())
         refusal.retryAfter?.let {
--- /dev/null
+++ b/gateway/src/main/kotlin/boragering/gateway/CallerRequests.kt
@@ -0,0 +1,92 @@
+package boragering.gateway
+
+import io.netty.channel.Channel
+import kotlin.time.Duration
+
+/**
+ * The requests of one connection, answered one after the other in the order in which they came. [onEnded] is called
+ * when the connection cannot carry another request. Runs on the event loop.
+ */
+internal class CallerRequests(
+    private val state: GatewayState,
+    private val channel: Channel,
+    private val onEnded: () -> Unit,
+) {
+    private val reader = RequestReader(state.names, state.ports.random)
+    private val waiting = ArrayDeque<ReceivedRequest>()
+    private var exchange: Exchange? = null
+
+    /** Whether a request is being answered. */
+    var answering = false
+        private set
+
+    /** When the last answer ended, or the connection was opened. */
+    var idleSince = state.now()
+        private set
+
+    /** Whether no request waits for its answer. */
+    val idle: Boolean get() = !answering && waiting.isEmpty()
+
+    /** Takes a whole request. */
+    fun add(request: ReceivedRequest) {
+        waiting.addLast(request)
+        if (waiting.size >= MOST_WAITING) channel.config().isAutoRead = false
+        next()
+    }
+
+    /** The caller reads on, or does not. */
+    fun writable(on: Boolean) {
+        exchange?.callerWritable(on)
+    }
+
+    /** The caller is gone. */
+    fun left() {
+        waiting.clear()
+        exchange?.callerLeft()
+        exchange = null
+    }
+
+    private fun next() {
+        if (answering) return
+        val request = waiting.removeFirstOrNull() ?: return
+        channel.config().isAutoRead = true
+        answering = true
+        val writer = AnswerWriter(channel, request, { state.draining }, ::answered)
+        val routes = state.routes
+        if (routes == null) {
+            writer.refuse(Refusal.Unavailable("no configuration is known", Refusal.soon(state.ports.random)))
+        } else {
+            reader.read(request, routes, state.now()).fold({ refuse(request, it, writer) }, { start(it, writer) })
+        }
+    }
+
+    private fun start(routed: RoutedRequest, writer: AnswerWriter) {
+        val started = Exchange(state, routed, writer)
+        exchange = started
+        started.start()
+    }
+
+    private fun refuse(request: ReceivedRequest, refusal: Refusal, writer: AnswerWriter) {
+        state.ports.metrics.ended("none", refusal.status, "refused", Duration.ZERO)
+        state.log.state(
+            "request-refused",
+            "request" to request.headers.get(state.names.requestId),
+            "status" to refusal.status,
+            "reason" to refusal.reason,
+            "configuration" to state.routes?.version,
+        )
+        writer.refuse(refusal)
+    }
+
+    private fun answered(keepOpen: Boolean) {
+        exchange = null
+        answering = false
+        idleSince = state.now()
+        if (keepOpen) next() else onEnded()
+    }
+
+    private companion object {
+        /** Requests that a caller may send ahead. */
+        const val MOST_WAITING = 4
+    }
+}
--- a/gateway/src/main/kotlin/boragering/gateway/ExchangeLog.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ExchangeLog.kt
@@ -38,15 +38,15 @@
 
     fun began() = state.ports.metrics.began(route, state.now() - routed.arrivedAt)
 
-    fun ended(outcome: String, status: Int, sends: Int) {
+    fun ended(ending: Ending, sends: Int) {
         val after = state.now() - routed.arrivedAt
-        state.ports.metrics.ended(route, status, outcome, after)
-        val kind = if (outcome == "answered") LineKind.ROUTINE else LineKind.NOTABLE
+        state.ports.metrics.ended(route, ending.status, ending.outcome, after)
+        val kind = if (ending.outcome == "answered") LineKind.ROUTINE else LineKind.NOTABLE
         state.log.request("request-ended", routed.id, kind) {
             mapOf(
                 "route" to route,
-                "outcome" to outcome,
-                "status" to status,
+                "outcome" to ending.outcome,
+                "status" to ending.status,
                 "sends" to sends,
                 "after" to after,
                 "configuration" to state.routes?.version,
--- a/gateway/src/main/kotlin/boragering/gateway/Follower.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Follower.kt
@@ -2,7 +2,6 @@
 
 import boragering.core.StoreFailure
 import kotlinx.coroutines.delay
-import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -14,12 +13,13 @@
 class Follower(
     private val feed: DocumentFeed,
     private val mirror: Mirror,
-    private val loop: GatewayLoop,
-    private val log: DecisionLog,
-    private val random: Random,
+    ports: GatewayPorts,
     private val spacing: () -> Duration,
     private val askPeer: () -> Unit,
 ) {
+    private val loop = ports.loop
+    private val log = ports.log
+    private val random = ports.random
     private var answeredAt: Duration? = null
     private var lostAt: Duration? = null
     private var recoveredAt: Duration? = null
--- a/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
@@ -68,7 +68,7 @@
         state.draining = true
         while (ports.loop.now() - start < limit) {
             val elsewhere = ports.loop.now() - start >= REDIRECTION_TIME
-            if (elsewhere) connections.toList().forEach { it.closeIfIdle() }
+            if (elsewhere) connections.filter { it.idle }.forEach { it.close() }
             if (elsewhere && state.exchanges.isEmpty() && connections.none { !it.idle }) break
             delay(CHECK_INTERVAL)
         }
--- a/gateway/src/main/kotlin/boragering/gateway/Mirror.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Mirror.kt
@@ -62,16 +62,18 @@
     fun all(): PersistentList<StoredValue> = documents.values.toPersistentList()
 
     private fun apply(change: DocumentChange) {
+        val known = documents[change.key]
+        val effective = when (change) {
+            is DocumentChange.Written -> known == null || known.revision < change.revision
+            is DocumentChange.Removed -> known != null && known.revision <= change.revision
+        }
+        if (!effective) return
         when (change) {
             is DocumentChange.Written -> {
-                val known = documents[change.key]
-                if (known != null && known.revision >= change.revision) return
                 documents[change.key] = change.document
                 removed.remove(change.key)
             }
             is DocumentChange.Removed -> {
-                val known = documents[change.key] ?: return
-                if (known.revision > change.revision) return
                 documents.remove(change.key)
                 remember(change)
             }
--- a/gateway/src/main/kotlin/boragering/gateway/OrderDispatcher.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/OrderDispatcher.kt
@@ -9,8 +9,8 @@
 import boragering.fleet.OrderOutcome
 
 /**
- * Sends the orders of one planner. Each names the number of orders that the instance has begun, so that an order that is
- * sent once more is carried out once, also if the first one arrives late. Used on the event loop only.
+ * Sends the orders of one planner. Each names the number of orders that the instance has begun, so that an order that
+ * is sent once more is carried out once, also if the first one arrives late. Used on the event loop only.
  */
 internal class OrderDispatcher(private val port: OrderPort, private val fence: Long, private val log: DecisionLog) {
     private val counts = HashMap<InstanceStart, Long>()
--- a/gateway/src/main/kotlin/boragering/gateway/PeerMirror.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PeerMirror.kt
@@ -11,8 +11,9 @@
 import kotlin.random.Random
 
 /**
- * Lets gateways that the store does not answer learn from others what has changed. A gateway asks one peer at a time, and
- * only while it needs to, so that the messages do not grow with the number of gateways. Used on the event loop only.
+ * Lets gateways that the store does not answer learn from others what has changed. A gateway asks one peer at a time,
+ * and only while it needs to, so that the messages do not grow with the number of gateways. Used on the event loop
+ * only.
  */
 class PeerMirror(
     private val mirror: Mirror,
--- a/gateway/src/main/kotlin/boragering/gateway/PlannerLoop.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PlannerLoop.kt
@@ -60,13 +60,15 @@
     /** Whether this gateway plans. */
     val planning: Boolean get() = lock.held
 
+    private val vacant: Boolean get() = view.planner == null && !stopping
+
     /** Runs until cancelled. */
     suspend fun run() {
         while (true) {
-            if (!stopping && view.configuration != null && view.planner == null && view.list != null) {
+            if (vacant && view.configuration != null && view.list != null) {
                 delay(COMPETITION_SPREAD * ports.random.nextDouble())
                 if (view.alone) delay(COMPETITION_HANDICAP)
-                if (view.planner == null && !stopping && lock.acquire()) plan()
+                if (vacant && lock.acquire()) plan()
             }
             delay(IDLE_INTERVAL)
         }
@@ -91,7 +93,14 @@
         while (lock.fence == fence && !term.superseded) {
             val configuration = view.configuration
             val list = view.list
-            if (lock.held && configuration != null && list != null) term.step(configuration, list, view.takeSuspicions(), this)
+            if (lock.held && configuration != null && list != null) {
+                term.step(
+                    configuration,
+                    list,
+                    view.takeSuspicions(),
+                    this
+                )
+            }
             delay(STEP_INTERVAL)
         }
         renewal.cancel()
--- a/gateway/src/main/kotlin/boragering/gateway/RequestAssembler.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/RequestAssembler.kt
@@ -31,10 +31,19 @@
 
     /** Adds [content]; the body may have [limit] bytes. */
     fun add(content: HttpContent, limit: Int): Assembled {
-        val request = head ?: return Assembled.Incomplete
-        if (body.size() + content.content().readableBytes() > limit) return Assembled.TooLarge
-        if (content.content().isReadable) body.write(ByteBufUtil.getBytes(content.content()))
-        if (content !is LastHttpContent) return Assembled.Incomplete
+        val request = head
+        val bytes = content.content()
+        return when {
+            request == null -> Assembled.Incomplete
+            body.size() + bytes.readableBytes() > limit -> Assembled.TooLarge
+            else -> {
+                if (bytes.isReadable) body.write(ByteBufUtil.getBytes(bytes))
+                if (content is LastHttpContent) whole(request) else Assembled.Incomplete
+            }
+        }
+    }
+
+    private fun whole(request: HttpRequest): Assembled {
         head = null
         val keepAlive = HttpUtil.isKeepAlive(request)
         return Assembled.Whole(
--- a/gateway/src/main/kotlin/boragering/gateway/RequestReader.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/RequestReader.kt
@@ -25,7 +25,7 @@
  * @property callerDeadline when the caller gives up.
  * @property priority urgency, 0 first.
  */
-internal class RoutedRequest(
+internal data class RoutedRequest(
     val id: RequestId,
     val received: ReceivedRequest,
     val route: Route,
--- a/gateway/src/main/kotlin/boragering/gateway/TargetLoads.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetLoads.kt
@@ -80,7 +80,8 @@
     }
 
     /**
-     * Counts the target as failed from [now] on, the longer the more often in a row; whether it did not count so before.
+     * Counts the target as failed from [now] on, the longer the more often in a row; whether it did not count so
+     * before.
      */
     fun suspect(now: Duration): Boolean {
         val until = load.suspectUntil
--- a/gateway/src/main/kotlin/boragering/gateway/TargetPool.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetPool.kt
@@ -3,6 +3,7 @@
 import boragering.fleet.Address
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
@@ -50,7 +51,7 @@
     }
 
     fun release(connection: TargetConnection) {
-        if (closed) connection.close() else idle.addLast(connection)
+        if (closed) connection.channel.close() else idle.addLast(connection)
     }
 
     fun closed(connection: TargetConnection) {
@@ -61,18 +62,14 @@
     /** Closes idle connections, and those in use when their calls have ended. */
     fun close() {
         closed = true
-        idle.toList().forEach { it.close() }
+        idle.toList().forEach { it.channel.close() }
     }
 
+    /** The connection that was used last, if it can carry [call]; those that cannot carry any call are closed. */
     private fun takeIdle(call: TargetCall): TargetConnection? {
         val now = now()
-        while (idle.isNotEmpty()) {
-            val candidate = idle.last()
-            if (candidate.usable(now, call.idleLimit)) return idle.removeLast()
-            if (candidate.usable(now, null)) return null
-            idle.removeLast().close()
-        }
-        return null
+        while (idle.isNotEmpty() && !idle.last().usable(now, limit = null)) idle.removeLast().channel.close()
+        return idle.lastOrNull()?.takeIf { it.usable(now, call.idleLimit) }?.also { idle.removeLast() }
     }
 
     private fun connect(handle: CallHandle) {
@@ -87,7 +84,7 @@
             .connect(InetSocketAddress(address.host, address.port))
             .addListener { future ->
                 connecting -= 1
-                val channel = (future as io.netty.channel.ChannelFuture).channel()
+                val channel = (future as ChannelFuture).channel()
                 if (future.isSuccess) {
                     handle.begin(channel.pipeline().get(TargetConnection::class.java))
                 } else {
@@ -120,14 +117,14 @@
         connection?.cancel(call)
     }
 
-    /** Stops or resumes reading of the answer. */
+    /** Stops or resumes reading of the answer, so that a slow reader of it bounds the memory that it takes. */
     fun reading(on: Boolean) {
-        connection?.reading(on)
+        connection?.channel?.config()?.isAutoRead = on
     }
 
     fun begin(opened: TargetConnection) {
         if (cancelled) {
-            opened.close()
+            opened.channel.close()
         } else {
             connection = opened
             opened.start(call)
--- a/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
@@ -128,9 +128,9 @@
 
     /** Sends a request for [path] with the proper headers and [more]. */
     fun request(path: String, vararg more: String, method: String = "POST", body: String = "", key: String = "secret") {
-        val headers = listOf("$method $path HTTP/1.1", "Host: x.example", "Id: r1", "Time-Left: 4000", "Key: $key") + more
+        val own = listOf("$method $path HTTP/1.1", "Host: x.example", "Id: r1", "Time-Left: 4000", "Key: $key")
         val length = if (body.isEmpty()) emptyList() else listOf("Content-Length: ${body.length}")
-        write((headers + length).joinToString("\r\n") + "\r\n\r\n" + body)
+        write((own + more + length).joinToString("\r\n") + "\r\n\r\n" + body)
     }
 
     /** The next answer; `null` when the connection ends before one begins. */
--- a/gateway/src/test/kotlin/boragering/gateway/ScriptedTarget.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/ScriptedTarget.kt
@@ -20,7 +20,9 @@
         .associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
     val body = when {
         headers["transfer-encoding"] == "chunked" -> readChunks(input)
-        headers["content-length"] != null -> input.readNBytes(headers.getValue("content-length").toInt()).decodeToString()
+        headers["content-length"] != null -> input.readNBytes(
+            headers.getValue("content-length").toInt()
+        ).decodeToString()
         start.startsWith("HTTP") -> input.readBytes().decodeToString()
         else -> ""
     }
@@ -71,8 +73,8 @@
 
     /** Answers with [status] and [body]. */
     fun answer(status: Int, body: String, vararg headers: String) {
-        val lines = listOf("HTTP/1.1 $status X", "Id: ${request.header("id")}", "Content-Length: ${body.length}") + headers
-        write(lines.joinToString("\r\n") + "\r\n\r\n" + body)
+        val own = listOf("HTTP/1.1 $status X", "Id: ${request.header("id")}", "Content-Length: ${body.length}")
+        write((own + headers).joinToString("\r\n") + "\r\n\r\n" + body)
     }
 
     /** Begins a stream of events; [event] adds to it. */
