Serve before the logging library is loaded; requests that a target failed go first

Starts: after a power cut of all, 1.3 s passed from a process's start until it knew the configuration, most of it spent on loading the logging library. Lines are now kept until the gateway knows what to serve and the library is loaded on another thread; peers and metrics follow.

--- a/fleet/src/main/kotlin/boragering/fleet/TargetChoice.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/TargetChoice.kt
@@ -48,10 +48,14 @@
  * while a caller that is refused at once can come back when there is room.
  */
 class TargetChoice(private val availabilityZone: AvailabilityZone, private val random: Random) {
-    /** The target for a request at [now], a time of the monotonic clock. */
-    fun choose(candidates: List<Candidate>, gateways: Int, now: Duration): Choice {
+    /**
+     * The target for a request at [now], a time of the monotonic clock. One that another target has failed ([again])
+     * goes before new ones: it also gets a place where these do not.
+     */
+    fun choose(candidates: List<Candidate>, gateways: Int, now: Duration, again: Boolean = false): Choice {
+        val limit = if (again) FULL_AGAIN else FULL
         val sound = candidates.filter { !it.load.suspected(now) }.ifEmpty { candidates }
-        val open = sound.filter { !full(it, gateways, now) }
+        val open = sound.filter { !full(it, gateways, now, limit) }
         val chosen = open.map { it to cost(it, gateways, now) + random.nextDouble() * TIE_BREAK }
             .minByOrNull { (_, cost) -> cost }
         return when {
@@ -65,10 +69,10 @@
     fun occupancy(candidate: Candidate, gateways: Int, now: Duration): Double =
         (candidate.load.own + others(candidate.load, gateways, now)) / candidate.target.slots.coerceAtLeast(1)
 
-    private fun full(candidate: Candidate, gateways: Int, now: Duration): Boolean {
+    private fun full(candidate: Candidate, gateways: Int, now: Duration, limit: Double): Boolean {
         val report = candidate.load.report
         val known = report != null && now - report.at < REPORT_VALIDITY
-        return candidate.target.group != null && known && occupancy(candidate, gateways, now) >= FULL
+        return candidate.target.group != null && known && occupancy(candidate, gateways, now) >= limit
     }
 
     private fun cost(candidate: Candidate, gateways: Int, now: Duration): Double {
@@ -94,6 +98,9 @@
         /** Requests for each slot of a group from which on it gets no more. */
         const val FULL = 1.15
 
+        /** The same for requests that were sent before. */
+        const val FULL_AGAIN = 2.0
+
         /** Occupancy that a target in the same availability zone may have more than one elsewhere. */
         const val FAR_COST = 0.05
         const val TIE_BREAK = 0.02
--- a/gateway/src/main/kotlin/boragering/gateway/DecisionLog.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DecisionLog.kt
@@ -21,7 +21,9 @@
  * first, so that the log neither grows nor costs without bound under load. Called on the event loop only.
  */
 class DecisionLog(private val clock: Clock) {
-    private val logger = LogManager.getLogger("boragering.decisions")
+    private val logger by lazy { LogManager.getLogger("boragering.decisions") }
+    private val early = ArrayList<StringMapMessage>()
+    private var open = true
     private var second = Duration.ZERO
     private var routine = 0
     private var notable = 0
@@ -38,7 +40,27 @@
         if (!permitted(kind)) return
         val message = StringMapMessage().with("event", event)
         fields().forEach { (name, value) -> if (value != null) message.with(name, value.toString()) }
-        logger.info(message)
+        if (open) logger.info(message) else early += message.with("at", clock.wallMilliseconds())
+    }
+
+    /**
+     * Keeps lines until [release]. The first line loads the logging library, which takes longer than all else that a
+     * process does before it can serve.
+     */
+    fun hold() {
+        open = false
+    }
+
+    /** Loads the logging library; may be called by any thread. */
+    fun load() {
+        logger.name
+    }
+
+    /** Writes the lines that were kept, each with the time of day at which it was recorded. */
+    fun release() {
+        open = true
+        early.forEach { logger.info(it) }
+        early.clear()
     }
 
     private fun permitted(kind: LineKind): Boolean {
--- a/gateway/src/main/kotlin/boragering/gateway/Dispatch.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Dispatch.kt
@@ -35,7 +35,7 @@
 
     /** Sends the request to go on after [lastEvent]; the reason when there is no target for it. */
     fun send(lastEvent: Long?): String? =
-        when (val choice = state.choice.choose(candidates(), state.gateways(), state.now())) {
+        when (val choice = choose()) {
             is Choice.Chosen -> null.also { send(choice.candidate, lastEvent) }
             Choice.Full -> "all targets are full"
             Choice.None -> "no target can serve it"
@@ -46,7 +46,7 @@
         val repeatable = routed.route.repeatability.repeatable && resumable
         val possible = repeatable || !(ran || this.ran)
         val within = sends < routed.route.attempts && unsent < CONNECT_ATTEMPTS && routed.deadline - now > LEAST_TIME
-        return possible && within && candidates().isNotEmpty() && allowed(now)
+        return possible && within && choose() is Choice.Chosen && allowed(now)
     }
 
     /** The present send is over; [ran] tells whether the target may have run the request. */
@@ -75,6 +75,9 @@
         handle?.reading(on)
     }
 
+    private fun choose(): Choice =
+        state.choice.choose(candidates(), state.gateways(), state.now(), again = sends > 0 || unsent > 0)
+
     private fun allowed(now: Duration): Boolean =
         sends == 0 || state.allowance(routed.service.name).take(now, state.gateways())
 
