Plan on while the store answers nobody

If most other gateways say that the store does not answer them either, and none says that it does, nobody can have taken the lock; the planner goes on. It asks members of unsettled groups themselves and passes on what they say; gateways use that only while the store does not answer them. Ruled out: reading a second copy of the list (there is none).

--- a/core/src/main/kotlin/boragering/core/PeerMessage.kt
+++ b/core/src/main/kotlin/boragering/core/PeerMessage.kt
@@ -76,8 +76,10 @@
 
     /**
      * The store's documents that changed after revision [after], up to [revision]; all of them when [after] is zero.
+     * Sent also when there are none, since the sender's contact to the store is of interest then.
      *
      * @property removed revisions at which documents were removed, by key.
+     * @property storeAnswers whether the store answers the sender.
      */
     @Serializable
     @SerialName("documents")
@@ -86,9 +88,29 @@
         val revision: Long,
         val written: List<StoreDocument>,
         val removed: Map<String, Long>,
+        val storeAnswers: Boolean,
     ) : PeerMessage
+
+    /** What the planner saw of instances itself while the store answers nobody. */
+    @Serializable
+    @SerialName("instance-observations")
+    data class InstanceObservations(val instances: List<ObservedInstance>) : PeerMessage
 }
 
+/** An instance's own statement of its models and its group; [group] is `null` when it belongs to none. */
+@Serializable
+data class ObservedInstance(
+    val id: InstanceId,
+    val startedAt: Long?,
+    val loaded: Set<String>,
+    val staged: Set<String>,
+    val group: ObservedMembership?,
+)
+
+/** A membership as an instance states it. */
+@Serializable
+data class ObservedMembership(val group: GroupId, val epoch: Long, val rank: Int, val state: String)
+
 /** A document of the store as daemons pass it on. */
 @Serializable
 data class StoreDocument(val key: String, val content: String, val revision: Long)
--- a/core/src/main/kotlin/boragering/core/PeerTraffic.kt
+++ b/core/src/main/kotlin/boragering/core/PeerTraffic.kt
@@ -28,6 +28,7 @@
         is PeerMessage.GroupSummaries -> PeerMessageKind.GROUP_SUMMARIES
         is PeerMessage.TargetSuspicion -> PeerMessageKind.TARGET_SUSPICION
         is PeerMessage.DocumentRequest, is PeerMessage.Documents -> PeerMessageKind.DOCUMENTS
+        is PeerMessage.InstanceObservations -> PeerMessageKind.DOCUMENTS
     }
 
 /** Counts the traffic between daemons. Implementations are safe for use by several threads and return at once. */
--- a/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
@@ -55,6 +55,10 @@
     fun servedBy(head: InstanceStart): List<Instance>? =
         formations.all.firstOrNull { it.head?.start == head && it.phase == FormationPhase.SERVING }?.members
 
+    /** The members of groups that are being formed or taken apart. */
+    val unsettled: List<Instance>
+        get() = formations.all.filter { it.phase != FormationPhase.SERVING }.flatMap { it.members }
+
     private fun adopt(state: PoolState, now: Duration) {
         formations.adopt(state, now).forEach { adopted ->
             val members = adopted.members.joinToString { it.id.value }
--- a/fleet/src/main/kotlin/boragering/fleet/InstanceBook.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/InstanceBook.kt
@@ -28,6 +28,11 @@
         revision = maxOf(revision, atRevision)
     }
 
+    /** Takes what was seen of a listed instance itself; an instance that is not listed with this start is left out. */
+    fun observe(instance: Instance) {
+        if (listed[instance.id]?.start == instance.start) listed = listed.put(instance.id, instance)
+    }
+
     /**
      * Takes the end of an entry at [now]; with [recovering], the list was out of reach shortly before.
      */
--- a/gateway/src/main/kotlin/boragering/gateway/Follower.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Follower.kt
@@ -28,6 +28,9 @@
     /** Whether the store answered not long ago. */
     val current: Boolean get() = answeredAt.let { it != null && loop.now() - it < FRESHNESS }
 
+    /** Whether the store answers, as far as this gateway knows. */
+    val storeAnswers: Boolean get() = current && lostAt == null
+
     /** Whether the store was out of reach, or not asked yet, and has been back for a short time only. */
     val recovering: Boolean
         get() = lostAt != null || recoveredAt.let { it != null && loop.now() - it < RECOVERY_TIME }
--- a/gateway/src/main/kotlin/boragering/gateway/OrderPort.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/OrderPort.kt
@@ -1,7 +1,6 @@
 package boragering.gateway
 
 import arrow.core.Either
-import boragering.fleet.GroupMembership
 import boragering.fleet.Instance
 import boragering.fleet.InstanceStart
 import boragering.fleet.Order
@@ -30,8 +29,12 @@
     data class NotSent(val reason: String) : OrderAnswer
 }
 
-/** What an engine instance says of itself when asked; [orders] counts those that it has begun since its start. */
-data class EngineReport(val start: InstanceStart?, val orders: Long, val membership: GroupMembership?)
+/**
+ * What an engine instance says of itself when asked; [orders] counts those that it has begun since its start.
+ *
+ * @property instance the instance with its present models and membership; `null` when another one answered.
+ */
+data class EngineReport(val start: InstanceStart?, val orders: Long, val instance: Instance?)
 
 /** An instance did not answer. */
 data class ReportFailure(val reason: String)
--- a/gateway/src/main/kotlin/boragering/gateway/PeerMirror.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PeerMirror.kt
@@ -9,6 +9,7 @@
 import boragering.core.StoredValue
 import kotlinx.collections.immutable.toPersistentList
 import kotlin.random.Random
+import kotlin.time.Duration
 
 /**
  * Lets gateways that the store does not answer learn from others what has changed. A gateway asks one peer at a time,
@@ -21,31 +22,47 @@
     private val link: PeerLink,
     private val random: Random,
     private val log: DecisionLog,
+    private val storeAnswers: () -> Boolean,
 ) {
-    /** Asks a random live peer for what changed since this gateway's last revision. */
-    fun ask() {
-        val others = peers.live.map { it.daemon }.filter { it != peers.self.daemon }
-        others.randomOrNull(random)?.let { link.send(it, PeerMessage.DocumentRequest(mirror.revision.value)) }
+    private val outage = StoreOutage()
+
+    private val others: List<DaemonId> get() = peers.live.map { it.daemon }.filter { it != peers.self.daemon }
+
+    /** Asks [count] random live peers for what changed since this gateway's last revision. */
+    fun ask(count: Int) {
+        val request = PeerMessage.DocumentRequest(mirror.revision.value)
+        others.shuffled(random).take(count).forEach { link.send(it, request) }
     }
 
+    /** Whether the store answers neither this gateway nor others, at [now]. */
+    fun storeIsDown(now: Duration): Boolean = !storeAnswers() && outage.certain(others, now)
+
     /** Handles a message of another gateway; messages of other components are ignored. */
-    fun handle(from: DaemonId, message: PeerMessage) {
+    fun handle(from: DaemonId, message: PeerMessage, now: Duration) {
         when (message) {
             is PeerMessage.DocumentRequest -> answer(from, StoreRevision(message.after))
-            is PeerMessage.Documents -> take(from, message)
+            is PeerMessage.Documents -> {
+                outage.heard(from, message.storeAnswers, now)
+                take(from, message)
+            }
             else -> Unit
         }
     }
 
     private fun answer(from: DaemonId, after: StoreRevision) {
-        if (mirror.revision <= after) return
         val changes = if (after == StoreRevision.NONE) null else mirror.since(after)
         val message = if (changes == null) whole() else changed(after, changes)
         link.send(from, message)
     }
 
     private fun whole(): PeerMessage.Documents =
-        PeerMessage.Documents(0, mirror.revision.value, mirror.all().map { it.toDocument() }, emptyMap())
+        PeerMessage.Documents(
+            after = 0,
+            revision = mirror.revision.value,
+            written = mirror.all().map { it.toDocument() },
+            removed = emptyMap(),
+            storeAnswers = storeAnswers(),
+        )
 
     private fun changed(after: StoreRevision, changes: DocumentChanges): PeerMessage.Documents {
         val written = changes.changes.filterIsInstance<DocumentChange.Written>().map { it.document.toDocument() }
@@ -55,6 +72,7 @@
             revision = changes.revision.value,
             written = written,
             removed = removed.associate { it.key to it.revision.value },
+            storeAnswers = storeAnswers(),
         )
     }
 
--- a/gateway/src/main/kotlin/boragering/gateway/PlannerLock.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PlannerLock.kt
@@ -14,7 +14,12 @@
  * Makes one gateway the planner. The lock is a document with a lease; its revision is the planner's fencing number,
  * which grows from planner to planner. Used on the event loop only.
  */
-internal class PlannerLock(private val store: Store, private val self: DaemonId, private val clock: Clock) {
+internal class PlannerLock(
+    private val store: Store,
+    private val self: DaemonId,
+    private val clock: Clock,
+    private val storeIsDown: () -> Boolean,
+) {
     private var lease: LeaseId? = null
     private var validUntil = Duration.ZERO
     private var renewedAt = Duration.ZERO
@@ -24,8 +29,11 @@
     var fence: Long? = null
         private set
 
-    /** Whether this gateway is certainly the planner now; a pause of the process makes it uncertain. */
-    val held: Boolean get() = fence != null && clock.monotonic() < validUntil && !paused()
+    /**
+     * Whether this gateway is certainly the planner now. A pause of the process makes it uncertain. While the store
+     * answers nobody, nobody else can have taken the lock, whatever became of the lease.
+     */
+    val held: Boolean get() = fence != null && !paused() && (clock.monotonic() < validUntil || storeIsDown())
 
     /** Becomes the planner if there is none. */
     suspend fun acquire(): Boolean {
@@ -42,14 +50,14 @@
         return held
     }
 
-    /** Renews the lock when that is due; the lock is given up when it cannot be renewed in time. */
+    /** Renews the lock when that is due; it is given up when its lease has ended. */
     suspend fun renew() {
         val current = lease ?: return
         val start = clock.monotonic()
         val uncertain = paused()
         if (start - renewedAt < RENEWAL && !uncertain) return
         store.renewLease(current).fold(
-            { if (clock.monotonic() >= validUntil || uncertain) drop() },
+            { Unit },
             { remaining -> if (remaining > Duration.ZERO) extend(start) else drop() },
         )
     }
--- a/gateway/src/main/kotlin/boragering/gateway/PlannerLoop.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PlannerLoop.kt
@@ -36,6 +36,12 @@
     /** Whether no other gateway serves the callers of this one's availability zone. */
     val alone: Boolean
 
+    /** Whether the store answers no gateway. */
+    val storeIsDown: Boolean
+
+    /** Takes what the planner saw of instances itself, and passes it on to other gateways. */
+    fun observed(instances: List<Instance>)
+
     /** Heads of groups that seem to have failed; each call returns those that came since the last one. */
     fun takeSuspicions(): Set<InstanceStart>
 }
@@ -54,13 +60,17 @@
  * Competes for the planner's lock and plans while this gateway holds it. Runs on the event loop.
  */
 class PlannerLoop(private val self: DaemonId, private val ports: PlannerPorts, private val view: PlannerView) {
-    private val lock = PlannerLock(ports.store, self, ports.clock)
+    private val lock = PlannerLock(ports.store, self, ports.clock) { view.storeIsDown }
     private var stopping = false
 
     /** Whether this gateway plans. */
     val planning: Boolean get() = lock.held
 
-    private val vacant: Boolean get() = view.planner == null && !stopping
+    /** Whether the lock can be had; a store that is down can give it to nobody. */
+    private val vacant: Boolean get() = view.planner == null && !stopping && !view.storeIsDown
+
+    /** Whether this gateway is the planner, or may be. */
+    val leading: Boolean get() = lock.fence != null
 
     /** Runs until cancelled. */
     suspend fun run() {
@@ -83,14 +93,18 @@
     private suspend fun plan() = coroutineScope {
         val fence = lock.fence ?: return@coroutineScope
         ports.log.state("planner-started", "fence" to fence)
-        val term = PlannerTerm(fence, ports) { lock.held }
+        val term = PlannerTerm(fence, ports, view) { lock.held }
         val renewal = launch {
             while (lock.fence == fence) {
                 lock.renew()
                 delay(RENEWAL_CHECK)
             }
         }
+        var listed = false
         while (lock.fence == fence && !term.superseded) {
+            listed = listed || view.planner == self.value
+            // Another holder, or none: the lease has ended, as others have learned from the store.
+            if (listed && view.planner != self.value) lock.drop()
             val configuration = view.configuration
             val list = view.list
             if (lock.held && configuration != null && list != null) {
@@ -126,9 +140,15 @@
 }
 
 /** The planning of one gateway from the time it takes the lock until it loses it. */
-private class PlannerTerm(private val fence: Long, private val ports: PlannerPorts, private val held: () -> Boolean) {
+private class PlannerTerm(
+    private val fence: Long,
+    private val ports: PlannerPorts,
+    private val view: PlannerView,
+    private val held: () -> Boolean,
+) {
     private val planners = HashMap<ServiceName, GroupPlanner>()
     private val dispatcher = OrderDispatcher(ports.orders, fence, ports.log)
+    private var observedAt = Duration.ZERO
     private val probing = HashSet<InstanceStart>()
     private val unreachable = HashMap<InstanceStart, Duration>()
 
@@ -138,16 +158,28 @@
 
     fun step(configuration: Configuration, list: InstanceList, suspicions: Set<InstanceStart>, scope: CoroutineScope) {
         val now = ports.loop.now()
-        unreachable.values.removeIf { it <= now }
+        // Without the store, the list goes on to show instances that have ended.
+        if (!view.storeIsDown) unreachable.values.removeIf { it <= now }
         configuration.services.values.forEach { service ->
             val engine = service.engine?.takeIf { it.models.isNotEmpty() } ?: return@forEach
             val planner = planners.getOrPut(service.name) { GroupPlanner(fence) }
             suspicions.mapNotNull { planner.servedBy(it) }.flatten().forEach { scope.launch { probe(it) } }
             val step = planner.step(PoolState(engine, list.of(service.name), unreachable.keys), now)
             carryOut(planner, step, scope)
+            if (view.storeIsDown && now - observedAt >= OBSERVATION_INTERVAL) {
+                observedAt = now
+                scope.launch { observe(planner.unsettled) }
+            }
         }
     }
 
+    /** Asks [instances] themselves, since the list does not tell of changes. */
+    private suspend fun observe(instances: List<Instance>) {
+        val reports = instances.filter { it.start !in unreachable }.map { ports.orders.report(it).getOrNull() }
+        val seen = reports.mapNotNull { report -> report?.instance?.takeIf { it.start == report.start } }
+        if (seen.isNotEmpty()) view.observed(seen)
+    }
+
     private fun carryOut(planner: GroupPlanner, step: PlanningStep, scope: CoroutineScope) {
         step.notes.forEach { ports.log.state(it.decision, "group" to it.group, "reason" to it.reason) }
         step.orders.forEach { addressed -> scope.launch { order(planner, addressed) } }
@@ -161,6 +193,7 @@
         val outcome = dispatcher.send(addressed)
         if (outcome == OrderOutcome.Superseded) superseded = true
         planner.answered(addressed, outcome)
+        if (view.storeIsDown && outcome == OrderOutcome.Accepted) observe(listOf(addressed.instance))
     }
 
     /** Finds out whether a member of a group that seems to have failed answers. */
@@ -182,6 +215,9 @@
 
         /** Time after which an instance that did not answer is tried again, if it is still listed. */
         val UNREACHABLE_TIME = 6.seconds
+
+        /** Time between questions to the members of unsettled groups while the store does not answer. */
+        val OBSERVATION_INTERVAL = 500.milliseconds
         val PROBE_INTERVAL = 300.milliseconds
     }
 }
