Bound the connections of callers

Callers that hold idle connections could use all descriptors, which the targets' connections and the store's need. Test on loopback, failing without the bound (the third caller had been added to the others).

--- a/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
@@ -21,9 +21,9 @@
  * Takes the requests of callers, sends each to a target that can serve it, and passes the answer back. What is in force
  * and which instances there are it is told with [configure] and [instances], on its event loop.
  */
-class Gateway(settings: GatewaySettings, private val ports: GatewayPorts) {
+class Gateway(private val settings: GatewaySettings, private val ports: GatewayPorts) {
     private val state = GatewayState(settings, ports)
-    private val connections = HashSet<CallerConnection>()
+    private val connections = LinkedHashSet<CallerConnection>()
 
     /** Whether requests can be served. */
     val ready: Boolean get() = state.ready
@@ -81,11 +81,20 @@
         connections.toList().forEach { it.check(now) }
     }
 
+    /** Descriptors are needed for targets as well, so that callers who hold idle connections cannot use all of them. */
+    private fun makeRoom() {
+        val idle = connections.firstOrNull { it.idle } ?: connections.first()
+        ports.log.state("caller-closed-for-another", "callers" to connections.size, "idle" to idle.idle)
+        connections -= idle
+        idle.close()
+    }
+
     private fun initializer(): ChannelInitializer<Channel> = object : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
             val headerBytes = state.routes?.limits?.headerBytes ?: UNCONFIGURED_HEADER_BYTES
             val arrivals = ArrivalWatch(state)
             val connection = CallerConnection(state, channel, arrivals) { connections -= it }
+            if (connections.size >= settings.callers) makeRoom()
             connections += connection
             channel.pipeline().addLast(
                 arrivals,
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
@@ -19,13 +19,19 @@
  * Settings of a gateway.
  *
  * @property connectTimeout time after which a connection to a target counts as refused.
+ * @property callers connections of callers; beyond that, an idle one is closed for each new one.
  */
 data class GatewaySettings(
     val availabilityZone: AvailabilityZone,
     val names: HeaderNames,
     val retries: RetryLimits,
     val connectTimeout: Duration = 400.milliseconds,
-)
+    val callers: Int = DEFAULT_CALLERS,
+) {
+    private companion object {
+        const val DEFAULT_CALLERS = 2_000
+    }
+}
 
 /**
  * What a gateway uses of its surroundings; [gateways] tells how many gateways serve the deployment now, and
--- a/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
@@ -52,6 +52,7 @@
     private val attempts: Int = 2,
     private val limits: CallerLimits = CallerLimits(8_192, 100_000, 5.seconds, 10.seconds),
     configured: Boolean = true,
+    callers: Int = 100,
 ) : AutoCloseable {
     private val loop = GatewayLoop(SystemClock)
     private val service = ServiceName("service")
@@ -59,6 +60,7 @@
         availabilityZone = AvailabilityZone("z"),
         names = TEST_NAMES,
         retries = RetryLimits(ratio = 0.2, slack = 50.0, window = 10.seconds),
+        callers = callers,
     )
     private val ports =
         GatewayPorts(loop, DecisionLog(SystemClock), GatewayMetrics(MetricRegistry()), Random(1), { 1 })
--- a/gateway/src/test/kotlin/boragering/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/GatewayTest.kt
@@ -263,6 +263,16 @@
             }
         }
 
+        it("keeps connections that others need and loses an idle one (guards against descriptors used up)") {
+            with(GatewayFixture(ScriptedTarget { answer(200, "done") }, callers = 2)) {
+                val idle = List(2) { caller() }
+                idle.forEach { it.call("/idempotent/a").status shouldBe 200 }
+                caller().call("/idempotent/a").status shouldBe 200
+                idle.first().answer().shouldBeNull()
+                idle.last().call("/idempotent/a").status shouldBe 200
+            }
+        }
+
         it("sends more than the limit and is answered 413 (guards against memory used up by bodies)") {
             with(GatewayFixture(limits = limits)) {
                 caller().call("/idempotent/a", body = "x".repeat(2_000)).status shouldBe 413
