--- a/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
@@ -135,6 +135,12 @@
         write((own + more + length).joinToString("\r\n") + "\r\n\r\n" + body)
     }
 
+    /** Reads until [text] has come. */
+    fun awaitText(text: String) {
+        val read = StringBuilder()
+        while (text !in read) read.append(socket.getInputStream().read().toChar())
+    }
+
     /** The next answer; `null` when the connection ends before one begins. */
     fun answer(): ReadMessage? = readMessage(socket.getInputStream())
 
--- a/gateway/src/test/kotlin/boragering/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/GatewayTest.kt
@@ -227,7 +227,7 @@
             with(GatewayFixture(target)) {
                 val caller = caller()
                 caller.request("/resumable_stream/a")
-                while (target.requests.isEmpty()) Thread.onSpinWait()
+                caller.awaitText("data: a")
                 caller.close()
                 closed.poll(5, TimeUnit.SECONDS) shouldBe true
             }
