Hold removed entries only after an outage for all

Entries expire only if the store is away for all. Removals are now held only if the store was away for 2 s or more and answered nobody 1.5 s before it was back. Ruled out: late watches (the list was read within 0.35 s there). Found beside it by reading: during an outage the planner put instances back as it had known them, so that one listed as leaving counted as serving; what is seen now changes models and membership only. Each with a test that failed before (the hold after a lone loss, the leaving instance).

--- a/fleet/src/main/kotlin/boragering/fleet/InstanceBook.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/InstanceBook.kt
@@ -28,9 +28,14 @@
         revision = maxOf(revision, atRevision)
     }
 
-    /** Takes what was seen of a listed instance itself; an instance that is not listed with this start is left out. */
-    fun observe(instance: Instance) {
-        if (listed[instance.id]?.start == instance.start) listed = listed.put(instance.id, instance)
+    /**
+     * Takes the models and the membership that an instance itself stated; all else stays as it is listed. An instance
+     * that is not listed with this [start] is left out.
+     */
+    fun observe(start: InstanceStart, seen: Instance) {
+        val known = listed[start.id]?.takeIf { it.start == start } ?: return
+        val updated = known.copy(loaded = seen.loaded, staged = seen.staged, membership = seen.membership)
+        listed = listed.put(start.id, updated)
     }
 
     /**
--- a/fleet/src/test/kotlin/boragering/fleet/InstanceBookTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/InstanceBookTest.kt
@@ -13,6 +13,15 @@
 
     fun book() = InstanceBook().apply { put(instance, atRevision = 1) }
 
+    describe("what was seen of an instance itself") {
+        it("leaves it leaving (guards against requests to an instance that was listed as leaving before an outage)") {
+            val book = InstanceBook()
+            book.put(instance.copy(state = InstanceState.LEAVING), atRevision = 1)
+            book.observe(instance.start, instance)
+            book.list.instances[id]?.state shouldBe InstanceState.LEAVING
+        }
+    }
+
     describe("an entry that disappears") {
         it("is gone at once while the list is in reach (guards against requests to an instance that left)") {
             val book = book()
--- a/gateway/src/main/kotlin/boragering/gateway/Follower.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Follower.kt
@@ -16,24 +16,27 @@
     ports: GatewayPorts,
     private val spacing: () -> Duration,
     private val askPeer: () -> Unit,
-) {
+) : StoreStanding {
     private val loop = ports.loop
     private val log = ports.log
     private val random = ports.random
     private var answeredAt: Duration? = null
-    private var lostAt: Duration? = null
-    private var recoveredAt: Duration? = null
+    private val contact = StoreContact()
     private var followedAt: Duration? = null
 
     /** Whether the store answered not long ago. */
     val current: Boolean get() = answeredAt.let { it != null && loop.now() - it < FRESHNESS }
 
-    /** Whether the store answers, as far as this gateway knows. */
-    val storeAnswers: Boolean get() = current && lostAt == null
+    override val storeAnswers: Boolean get() = current && contact.lostAt == null
 
     /** Whether the store was out of reach, or not asked yet, and has been back for a short time only. */
     val recovering: Boolean
-        get() = lostAt != null || recoveredAt.let { it != null && loop.now() - it < RECOVERY_TIME }
+        get() = contact.lostAt != null || contact.regainedAt.let { it != null && loop.now() - it < RECOVERY_TIME }
+
+    /** Whether entries that disappear now may belong to instances that live. */
+    val entriesMayReturn: Boolean get() = contact.entriesMayReturn(loop.now())
+
+    override fun answeredElsewhere() = contact.answeredElsewhere(loop.now())
 
     /** Follows until cancelled. */
     suspend fun run() {
@@ -71,17 +74,11 @@
     private fun answered() {
         val now = loop.now()
         answeredAt = now
-        lostAt?.let {
-            log.state("store-regained", "after" to now - it, "revision" to mirror.revision)
-            recoveredAt = now
-        }
-        if (recoveredAt == null) recoveredAt = now
-        lostAt = null
+        contact.answered(now)?.let { log.state("store-regained", "after" to it, "revision" to mirror.revision) }
     }
 
     private suspend fun failed(failure: StoreFailure) {
-        if (lostAt == null) {
-            lostAt = loop.now()
+        if (contact.lost(loop.now())) {
             log.state("store-lost", "reason" to failure.reason, "revision" to mirror.revision)
         }
         askPeer()
--- a/gateway/src/main/kotlin/boragering/gateway/PeerMirror.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PeerMirror.kt
@@ -11,6 +11,15 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 
+/** Whether the store answers this gateway, and what others say of that. */
+interface StoreStanding {
+    /** Whether the store answers, as far as this gateway knows. */
+    val storeAnswers: Boolean
+
+    /** Another gateway said that the store answers it. */
+    fun answeredElsewhere()
+}
+
 /**
  * Lets gateways that the store does not answer learn from others what has changed. A gateway asks one peer at a time,
  * and only while it needs to, so that the messages do not grow with the number of gateways. Used on the event loop
@@ -22,7 +31,7 @@
     private val link: PeerLink,
     private val random: Random,
     private val log: DecisionLog,
-    private val storeAnswers: () -> Boolean,
+    private val store: StoreStanding,
 ) {
     private val outage = StoreOutage()
 
@@ -35,7 +44,7 @@
     }
 
     /** Whether the store answers neither this gateway nor others, at [now]. */
-    fun storeIsDown(now: Duration): Boolean = !storeAnswers() && outage.certain(others, now)
+    fun storeIsDown(now: Duration): Boolean = !store.storeAnswers && outage.certain(others, now)
 
     /** Handles a message of another gateway; messages of other components are ignored. */
     fun handle(from: DaemonId, message: PeerMessage, now: Duration) {
@@ -43,6 +52,7 @@
             is PeerMessage.DocumentRequest -> answer(from, StoreRevision(message.after))
             is PeerMessage.Documents -> {
                 outage.heard(from, message.storeAnswers, now)
+                if (message.storeAnswers) store.answeredElsewhere()
                 take(from, message)
             }
             else -> Unit
@@ -61,7 +71,7 @@
             revision = mirror.revision.value,
             written = mirror.all().map { it.toDocument() },
             removed = emptyMap(),
-            storeAnswers = storeAnswers(),
+            storeAnswers = store.storeAnswers,
         )
 
     private fun changed(after: StoreRevision, changes: DocumentChanges): PeerMessage.Documents {
@@ -72,7 +82,7 @@
             revision = changes.revision.value,
             written = written,
             removed = removed.associate { it.key to it.revision.value },
-            storeAnswers = storeAnswers(),
+            storeAnswers = store.storeAnswers,
         )
     }
 
--- /dev/null
+++ b/gateway/src/main/kotlin/boragering/gateway/StoreContact.kt
@@ -0,0 +1,58 @@
+package boragering.gateway
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * When the store answered this gateway, and whether it answered others meanwhile. Entries of living instances expire
+ * only if the store was away for all of them for a while; a removal that follows is not to be taken as an end at once.
+ * Pure; times are those of the monotonic clock.
+ */
+internal class StoreContact {
+    private var answeredElsewhereAt: Duration? = null
+    private var returnedAt: Duration? = null
+
+    /** Since when the store does not answer; `null` while it does. */
+    var lostAt: Duration? = null
+        private set
+
+    /** When it answered first, or again after a loss. */
+    var regainedAt: Duration? = null
+        private set
+
+    /** The store does not answer at [now]; whether that is new. */
+    fun lost(now: Duration): Boolean {
+        if (lostAt != null) return false
+        lostAt = now
+        answeredElsewhereAt = null
+        return true
+    }
+
+    /** Another gateway said at [now] that the store answers it. */
+    fun answeredElsewhere(now: Duration) {
+        if (lostAt != null && answeredElsewhereAt == null) answeredElsewhereAt = now
+    }
+
+    /** The store answers at [now]; for how long it did not, `null` if it did before. */
+    fun answered(now: Duration): Duration? {
+        val since = lostAt
+        if (since != null || regainedAt == null) regainedAt = now
+        if (since != null && now - since >= EXPIRY && !answeredOthers(now)) returnedAt = now
+        lostAt = null
+        return since?.let { now - it }
+    }
+
+    /** Whether entries that disappear at [now] may have expired while the store was away. */
+    fun entriesMayReturn(now: Duration): Boolean = returnedAt.let { it != null && now - it < RETURN_TIME }
+
+    /** Another gateway may notice the store's return somewhat before this one. */
+    private fun answeredOthers(now: Duration): Boolean = answeredElsewhereAt.let { it != null && now - it > NOTICE }
+
+    private companion object {
+        /** No entry expires in a shorter absence. */
+        val EXPIRY = 2.seconds
+        val NOTICE = 1_500.milliseconds
+        val RETURN_TIME = 2_500.milliseconds
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/boragering/gateway/StoreContactTest.kt
@@ -0,0 +1,52 @@
+package boragering.gateway
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class StoreContactTest : DescribeSpec({
+    fun lostFrom10To(end: Int, contact: StoreContact = StoreContact()): StoreContact = contact.apply {
+        answered(1.seconds)
+        lost(10.seconds)
+        answered(end.seconds)
+    }
+
+    describe("entries that disappear after the store was away") {
+        it("may return when it answered nobody (guards against the loss of all targets)") {
+            lostFrom10To(end = 16).entriesMayReturn(17.seconds) shouldBe true
+        }
+
+        it("have ended when others had the store meanwhile (guards against requests to an instance that left)") {
+            val contact = StoreContact()
+            contact.answered(1.seconds)
+            contact.lost(10.seconds)
+            contact.answeredElsewhere(10.4.seconds)
+            contact.answered(16.seconds)
+            contact.entriesMayReturn(17.seconds) shouldBe false
+        }
+
+        it("may return when another gateway had it back a moment earlier (guards against a race of the return)") {
+            val contact = StoreContact()
+            contact.answered(1.seconds)
+            contact.lost(10.seconds)
+            contact.answeredElsewhere(15_700.milliseconds)
+            contact.answered(16.seconds)
+            contact.entriesMayReturn(17.seconds) shouldBe true
+        }
+
+        it("have ended when the absence was short (guards against a hold after each lost call)") {
+            lostFrom10To(end = 11).entriesMayReturn(12.seconds) shouldBe false
+        }
+
+        it("have ended some time after the return (guards against a hold for ever)") {
+            lostFrom10To(end = 16).entriesMayReturn(19.seconds) shouldBe false
+        }
+    }
+
+    describe("a first answer") {
+        it("is no return (guards against a hold after each start)") {
+            StoreContact().apply { answered(1.seconds) }.entriesMayReturn(2.seconds) shouldBe false
+        }
+    }
+})
