--- a/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
@@ -24,6 +24,7 @@
 class Gateway(private val settings: GatewaySettings, private val ports: GatewayPorts) {
     private val state = GatewayState(settings, ports)
     private val connections = LinkedHashSet<CallerConnection>()
+    private var listener: Channel? = null
 
     /** Whether requests can be served. */
     val ready: Boolean get() = state.ready
@@ -40,7 +41,7 @@
     /** Starts to listen at [address]. */
     fun listen(address: Address) {
         ports.loop.every(CHECK_INTERVAL) { check() }
-        ServerBootstrap().group(ports.loop.group)
+        val bound = ServerBootstrap().group(ports.loop.group)
             .channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -48,6 +49,7 @@
             .childHandler(initializer())
             .bind(address.host, address.port)
             .syncUninterruptibly()
+        listener = bound.channel()
     }
 
     /** Puts [configuration] in force. */
@@ -61,7 +63,8 @@
 
     /**
      * Stops gracefully within [limit]: the gateway is not ready any more, still answers what arrives until callers are
-     * sent elsewhere, and ends when no request is left.
+     * sent elsewhere, and ends when no request is left. From then on it takes no connection, so that the process can
+     * end.
      */
     suspend fun drain(limit: Duration) = withContext(ports.loop.dispatcher) {
         val start = ports.loop.now()
@@ -72,6 +75,7 @@
             if (elsewhere && state.exchanges.isEmpty() && connections.none { !it.idle }) break
             delay(CHECK_INTERVAL)
         }
+        listener?.close()
         ports.log.state("gateway-drained", "requestsLeft" to state.exchanges.size, "after" to ports.loop.now() - start)
     }
 
--- a/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
@@ -122,6 +122,9 @@
 
 /** A caller that writes and reads bytes itself. */
 internal class RawCaller(private val socket: Socket) : AutoCloseable {
+    /** Id of the next request. */
+    var id = "r1"
+
     init {
         socket.soTimeout = READ_TIMEOUT_MILLISECONDS
     }
@@ -130,7 +133,7 @@
 
     /** Sends a request for [path] with the proper headers and [more]. */
     fun request(path: String, vararg more: String, method: String = "POST", body: String = "", key: String = "secret") {
-        val own = listOf("$method $path HTTP/1.1", "Host: x.example", "Id: r1", "Time-Left: 4000", "Key: $key")
+        val own = listOf("$method $path HTTP/1.1", "Host: x.example", "Id: $id", "Time-Left: 4000", "Key: $key")
         val length = if (body.isEmpty()) emptyList() else listOf("Content-Length: ${body.length}")
         write((own + more + length).joinToString("\r\n") + "\r\n\r\n" + body)
     }
--- a/gateway/src/test/kotlin/boragering/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/GatewayTest.kt
@@ -8,7 +8,9 @@
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.runBlocking
 import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -116,11 +118,14 @@
         it("that follows a complete one is never given to the next request (guards against extra answers)") {
             val target = ScriptedTarget { number ->
                 answer(200, "answer$number")
-                write("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 5\r\n\r\nextra")
+                write("HTTP/1.1 200 OK\r\nId: ${request.header("id")}\r\nContent-Length: 5\r\n\r\nextra")
             }
             with(GatewayFixture(target)) {
                 val caller = caller()
-                repeat(5) { caller.call("/idempotent/a").body shouldBe "answer${it + 1}" }
+                repeat(5) {
+                    caller.id = "r$it"
+                    caller.call("/idempotent/a").body shouldBe "answer${it + 1}"
+                }
             }
         }
 
@@ -234,6 +239,17 @@
         }
     }
 
+    describe("a gateway that drains") {
+        it("answers what arrives meanwhile and takes nothing afterwards (guards against requests cut by the end)") {
+            with(GatewayFixture(ScriptedTarget { answer(200, "done") })) {
+                val drained = CompletableFuture.runAsync { runBlocking { gateway.drain(6.seconds) } }
+                caller().call("/idempotent/a").status shouldBe 200
+                drained.get(6, TimeUnit.SECONDS)
+                runCatching { caller().call("/idempotent/a") }.isFailure shouldBe true
+            }
+        }
+    }
+
     describe("a route's timeout") {
         it("ends a request that was sent with 504 (guards against an untrue refusal)") {
             val target = ScriptedTarget { closedWithin(5_000) }
