Divide a pool once all of it has settled, and stage weights meanwhile

Instances go on listing themselves for 5 s.

Change: the first division waits until no instance has come for 1.2 s. Meanwhile the listed instances stage weights, each the model of which its domain holds the least for its share of the work, so that the wait costs no time of the store of weights. Spare instances follow the same rule later, so that both models have some; before, all spares held the large model. Only the domain that has just grown waits for 0.4 s; before, every new instance held up the whole pool. A staging that was refused or not sent is ordered anew.

Ruled out: late lists or a slow planner; each process saw the same entries within one read.

GroupPlannerTest "a pool whose instances list themselves with a pause" gave 4 of 6 large groups before.

--- a/fleet/src/main/kotlin/boragering/fleet/GroupComposer.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupComposer.kt
@@ -9,6 +9,7 @@
  * What a [GroupComposer] decides on.
  *
  * @property free the instances of each domain that belong to no group.
+ * @property waiting domains that get no group now, since more instances are about to come or to be free there.
  * @property usable number of serving instances of each domain.
  * @property assigned number of instances in groups of each model.
  * @property staging models that instances are loading to their hosts.
@@ -17,6 +18,7 @@
 internal class CompositionInput(
     val engine: EngineProfile,
     val free: Map<FabricDomain, List<Instance>>,
+    val waiting: Set<FabricDomain>,
     val usable: Map<FabricDomain, Int>,
     val assigned: Map<ModelName, Int>,
     val staging: Map<InstanceStart, ModelName>,
@@ -53,23 +55,23 @@
 
     /** The groups to add to a pool that has some. */
     fun compose(): List<Composition> = generateSequence {
-        val options = engine.models.values.flatMap { model -> free.keys.mapNotNull { option(model, it) } }
+        val domains = free.keys - input.waiting
+        val options = engine.models.values.flatMap { model -> domains.mapNotNull { option(model, it) } }
         take(options.filter(::permitted)) { it.loads }
     }.toList()
 
     /**
-     * For each spare instance that holds no model, the one to stage: what its domain's groups lack, and beyond that the
-     * model of the largest groups, which lose members most often.
+     * For each spare instance that holds no model, the one to stage: that of which the instances of its domain hold the
+     * least for its share of the work.
      */
     fun stagings(holders: (FabricDomain, ModelName) -> Int): List<Pair<Instance, ModelName>> =
         free.flatMap { (domain, spares) ->
-            val models = engine.models.values.sortedBy { it.groupSize }
+            val models = engine.models.values.sortedByDescending { it.groupSize }
             val counts = models.associateTo(HashMap()) { it.name to holders(domain, it.name) }
             val empty = spares.filter { spare -> models.none { joinCost(spare, it.name) < LOAD_COST } }
             empty.mapNotNull { spare ->
-                val lacking = models.firstOrNull { counts.getValue(it.name) < inGroups(it, domain) }
-                val model = (lacking ?: models.lastOrNull())?.name
-                model?.let { spare to it }.also { if (model != null) counts.merge(model, 1, Int::plus) }
+                val scarcest = models.minByOrNull { counts.getValue(it.name) / it.weight }?.name
+                scarcest?.let { spare to it }.also { if (scarcest != null) counts.merge(scarcest, 1, Int::plus) }
             }
         }
 
@@ -99,8 +101,9 @@
         return supply(option.model) <= scarcest * TOLERATED_IMBALANCE
     }
 
-    private fun supply(model: ModelProfile): Double =
-        (assigned[model.name] ?: 0) / model.share.coerceAtLeast(SMALLEST_SHARE)
+    private fun supply(model: ModelProfile): Double = (assigned[model.name] ?: 0) / model.weight
+
+    private val ModelProfile.weight: Double get() = share.coerceAtLeast(SMALLEST_SHARE)
 
     private fun joinCost(instance: Instance, model: ModelName): Int = when {
         model in instance.loaded -> 0
--- a/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
@@ -86,33 +86,39 @@
 
     private fun permitted(addressed: AddressedOrder, state: PoolState, now: Duration): Boolean {
         val model = (addressed.order as? Order.Join)?.model ?: return true
-        return addressed.instance.holds(model) || gate.take(now, loading(state), state.engine)
+        val begun = addressed.instance.holds(model) || stagings.models[addressed.instance.start] == model
+        return begun || gate.take(now, loading(state), state.engine)
     }
 
     private fun loading(state: PoolState): Int = formations.loading(state) + stagings.loading(state)
 
     private fun compose(state: PoolState, now: Duration): List<AddressedOrder> {
-        val members = formations.members
-        val ending = formations.ending(now)
-        val free = state.serving.filter { it.start !in members }.groupBy { it.groupDomain }
-        val composer = GroupComposer(
-            CompositionInput(
-                engine = state.engine,
-                free = free.filterKeys { it !in ending },
-                usable = state.serving.groupingBy { it.groupDomain }.eachCount(),
-                assigned = formations.assigned(),
-                staging = stagings.models,
-                loads = state.engine.loadsAtOnce - loading(state),
-            ),
-        )
+        settling.observe(state, now)
+        stagings.retain(state, now)
+        val composer = GroupComposer(input(state, now))
         val compositions = when {
-            !settling.settled(state, now) -> emptyList()
-            formations.unused -> composer.divide()
-            else -> composer.compose()
+            !formations.unused -> composer.compose()
+            settling.settled(now) -> composer.divide()
+            else -> emptyList()
         }
         return compositions.flatMap { form(it, state, now) } + stage(composer, state, now)
     }
 
+    private fun input(state: PoolState, now: Duration): CompositionInput {
+        val members = formations.members
+        val free = state.serving.filter { it.start !in members }.groupBy { it.groupDomain }
+        val ending = formations.ending(now)
+        return CompositionInput(
+            engine = state.engine,
+            free = free,
+            waiting = free.keys.filterTo(HashSet()) { it in ending || settling.growing(it, now) },
+            usable = state.serving.groupingBy { it.groupDomain }.eachCount(),
+            assigned = formations.assigned(),
+            staging = stagings.models,
+            loads = state.engine.loadsAtOnce - loading(state),
+        )
+    }
+
     private fun form(composition: Composition, state: PoolState, now: Duration): List<AddressedOrder> {
         compositions += 1
         val epoch = fence * COMPOSITIONS_PER_PLANNER + compositions
@@ -125,11 +131,10 @@
     }
 
     private fun stage(composer: GroupComposer, state: PoolState, now: Duration): List<AddressedOrder> {
-        stagings.retain(state)
         return composer.stagings { domain, model -> stagings.holders(state, domain, model) }
             .mapNotNull { (instance, model) ->
                 val permitted = instance !in stagings && gate.take(now, loading(state), state.engine)
-                if (permitted) stagings.order(instance, model) else null
+                if (permitted) stagings.order(instance, model, now) else null
             }
     }
 
--- a/fleet/src/main/kotlin/boragering/fleet/SettlingPool.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/SettlingPool.kt
@@ -1,5 +1,6 @@
 package boragering.fleet
 
+import boragering.core.FabricDomain
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -9,18 +10,23 @@
  */
 internal class SettlingPool {
     private var known = emptySet<InstanceStart>()
-    private var grownAt: Duration? = null
+    private val grownAt = HashMap<FabricDomain, Duration>()
 
-    /** Whether the pool has settled at [now]. */
-    fun settled(state: PoolState, now: Duration): Boolean {
-        val starts = state.instances.mapTo(HashSet()) { it.start }
-        val since = grownAt?.takeIf { known.containsAll(starts) } ?: now
-        known = starts
-        grownAt = since
-        return now - since >= SETTLING_TIME
+    /** Takes the pool as it is at [now]. */
+    fun observe(state: PoolState, now: Duration) {
+        state.instances.filter { it.start !in known }.forEach { grownAt[it.groupDomain] = now }
+        known = state.instances.mapTo(HashSet()) { it.start }
     }
 
+    /** Whether the whole pool has settled at [now], so that it can be divided. */
+    fun settled(now: Duration): Boolean = grownAt.isNotEmpty() && grownAt.values.all { now - it >= FIRST_SETTLING }
+
+    /** Whether instances came to [domain] just before [now]. */
+    fun growing(domain: FabricDomain, now: Duration): Boolean = grownAt[domain].let { it != null && now - it < SETTLING }
+
     private companion object {
-        val SETTLING_TIME = 400.milliseconds
+        /** Instances that start together list themselves within a heartbeat of each other. */
+        val FIRST_SETTLING = 1_200.milliseconds
+        val SETTLING = 400.milliseconds
     }
 }
--- a/fleet/src/main/kotlin/boragering/fleet/StagingBook.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/StagingBook.kt
@@ -1,47 +1,59 @@
 package boragering.fleet
 
 import boragering.core.FabricDomain
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
-/** Which instances a planner has told to stage weights. Not safe for use by several threads. */
+/**
+ * Which instances a planner has told to stage weights, until they hold them. Not safe for use by several threads.
+ */
 internal class StagingBook {
-    private class Staging(val order: Order.Stage) {
-        var refused = false
+    private class Staging(val order: Order.Stage, val at: Duration) {
+        var failed = false
     }
 
     private val stagings = HashMap<InstanceStart, Staging>()
 
-    /** The model that each instance was told to stage. */
-    val models: Map<InstanceStart, ModelName> get() = stagings.mapValues { (_, staging) -> staging.order.model }
+    /** The model that each instance is staging. */
+    val models: Map<InstanceStart, ModelName>
+        get() = stagings.filterValues { !it.failed }.mapValues { (_, staging) -> staging.order.model }
 
-    /** Forgets instances that are gone. */
-    fun retain(state: PoolState) {
-        stagings.keys.removeAll { state.present(it) == null }
+    /** Forgets instances that are gone, that hold what they were to stage, or that can be asked again at [now]. */
+    fun retain(state: PoolState, now: Duration) {
+        stagings.entries.removeAll { (start, staging) ->
+            val retry = staging.failed && now - staging.at >= RETRY_INTERVAL
+            retry || state.present(start)?.holds(staging.order.model) != false
+        }
     }
 
     /** Whether [instance] was told to stage weights. */
     operator fun contains(instance: Instance): Boolean = instance.start in stagings
 
-    /** Notes that [instance] is told to stage [model], and returns the order. */
-    fun order(instance: Instance, model: ModelName): AddressedOrder {
+    /** Notes that [instance] is told at [now] to stage [model], and returns the order. */
+    fun order(instance: Instance, model: ModelName, now: Duration): AddressedOrder {
         val order = Order.Stage(model)
-        stagings[instance.start] = Staging(order)
+        stagings[instance.start] = Staging(order, now)
         return AddressedOrder(instance, order)
     }
 
     fun answered(addressed: AddressedOrder, outcome: OrderOutcome) {
         val staging = stagings[addressed.instance.start]?.takeIf { it.order == addressed.order } ?: return
-        staging.refused = outcome is OrderOutcome.Refused
+        staging.failed = outcome is OrderOutcome.Refused || outcome is OrderOutcome.NotSent
     }
 
     /** Number of loads that run. */
     fun loading(state: PoolState): Int = stagings.count { (start, staging) ->
-        state.present(start)?.holds(staging.order.model) == false && !staging.refused
+        state.present(start)?.holds(staging.order.model) == false && !staging.failed
     }
 
-    /** Number of instances of [domain] that hold [model] or were told to stage it. */
+    /** Number of instances of [domain] that hold [model] or are staging it. */
     fun holders(state: PoolState, domain: FabricDomain, model: ModelName): Int =
         state.answering.count { instance ->
-            instance.groupDomain == domain &&
-                (instance.holds(model) || stagings[instance.start]?.order?.model == model)
+            instance.groupDomain == domain && (instance.holds(model) || models[instance.start] == model)
         }
+
+    private companion object {
+        /** Time after which an instance that did not begin to stage is asked again. */
+        val RETRY_INTERVAL = 2.seconds
+    }
 }
--- a/fleet/src/test/kotlin/boragering/fleet/GroupPlannerTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/GroupPlannerTest.kt
@@ -38,6 +38,30 @@
         }
     }
 
+    describe("a pool whose instances list themselves with a pause") {
+        val pool = FakePool(Random(8), domains = 0)
+        repeat(48) {
+            pool.add(FabricDomain("d${it % 6}"))
+            pool.run(if (it == 9) 0.8.seconds else 0.1.seconds)
+        }
+        val staged = pool.instances.count { it.listed().staged.isNotEmpty() || it.orders > 0 }
+
+        it("begins to stage weights meanwhile (guards against a store of weights that stands idle)") {
+            staged shouldBeGreaterThanOrEqual 6
+        }
+
+        it("is divided as a whole (guards against a division of the first instances, and groups that lack later)") {
+            pool.run(180.seconds)
+            pool.targets() shouldContainExactly mapOf(large to 6, small to 6)
+            pool.breaches.shouldBeEmpty()
+        }
+
+        it("has spare instances for each model (guards against a model that a loss leaves without a spare)") {
+            val spares = pool.instances.filter { it.membership == null }
+            spares.flatMap { it.listed().staged }.toSet() shouldBe setOf(large, small)
+        }
+    }
+
     describe("a group that loses a member") {
         it("is formed anew with a spare instance after a warm-up (guards against loads for each loss)") {
             val pool = FakePool(Random(2))
