Hold requests during the first read; regroup without refused orders

The next number is tried first now, then the reported one; an order takes effect with one of them only. - After an outage of the store the planner stood still for 2.5 s, the time for which missing entries may return, though these count as listed.

Also: the time left of a request runs from its arrival, also while it waits for the one before it on its connection; a request refused for want of a configuration has its log line.

Tests: GatewayTest "just after the start waits", OrderDispatcherTest. They were written with the change; the first fails without it by construction (503).

--- a/gateway/src/main/kotlin/boragering/gateway/CallerRequests.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/CallerRequests.kt
@@ -13,8 +13,9 @@
     private val onEnded: () -> Unit,
 ) {
     private val reader = RequestReader(state.names, state.ports.random)
-    private val waiting = ArrayDeque<ReceivedRequest>()
+    private val waiting = ArrayDeque<Arrival>()
     private var exchange: Exchange? = null
+    private var gone = false
 
     /** Whether a request is being answered. */
     var answering = false
@@ -29,7 +30,7 @@
 
     /** Takes a whole request. */
     fun add(request: ReceivedRequest) {
-        waiting.addLast(request)
+        waiting.addLast(Arrival(request, state.now()))
         if (waiting.size >= MOST_WAITING) channel.config().isAutoRead = false
         next()
     }
@@ -41,6 +42,7 @@
 
     /** The caller is gone. */
     fun left() {
+        gone = true
         waiting.clear()
         exchange?.callerLeft()
         exchange = null
@@ -48,15 +50,20 @@
 
     private fun next() {
         if (answering) return
-        val request = waiting.removeFirstOrNull() ?: return
+        val arrival = waiting.removeFirstOrNull() ?: return
         channel.config().isAutoRead = true
         answering = true
+        // A refusal would use up a retry of the caller, while what to serve is known in a moment.
+        state.afterStart { if (!gone) serve(arrival.request, arrival.at) }
+    }
+
+    private fun serve(request: ReceivedRequest, arrivedAt: Duration) {
         val writer = AnswerWriter(channel, request, { state.draining }, ::answered)
         val routes = state.routes
         if (routes == null) {
-            writer.refuse(Refusal.Unavailable("no configuration is known", Refusal.soon(state.ports.random)))
+            refuse(request, Refusal.Unavailable("no configuration is known", Refusal.soon(state.ports.random)), writer)
         } else {
-            reader.read(request, routes, state.now()).fold({ refuse(request, it, writer) }, { start(it, writer) })
+            reader.read(request, routes, arrivedAt).fold({ refuse(request, it, writer) }, { start(it, writer) })
         }
     }
 
@@ -85,6 +92,9 @@
         if (keepOpen) next() else onEnded()
     }
 
+    /** A request that arrived [at] a time of the monotonic clock; its time runs from then on. */
+    private class Arrival(val request: ReceivedRequest, val at: Duration)
+
     private companion object {
         /** Requests that a caller may send ahead. */
         const val MOST_WAITING = 4
--- a/gateway/src/main/kotlin/boragering/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Exchange.kt
@@ -20,7 +20,7 @@
     fun start() {
         state.exchanges += this
         state.allowance(routed.service.name).request(state.now())
-        send()
+        if (state.now() < routed.deadline) send() else finish(progress.expire(dispatch.mayHaveRun))
     }
 
     /** Looks at [now] whether the request or its target takes too long. */
--- a/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
@@ -41,6 +41,7 @@
     /** Starts to listen at [address]. */
     fun listen(address: Address) {
         ports.loop.every(CHECK_INTERVAL) { check() }
+        ports.loop.after(START_LIMIT) { state.endStart() }
         val bound = ServerBootstrap().group(ports.loop.group)
             .channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_REUSEADDR, true)
@@ -112,6 +113,9 @@
     private companion object {
         val CHECK_INTERVAL = 50.milliseconds
 
+        /** Time after the start for which requests wait for the first read of the store. */
+        val START_LIMIT = 1.seconds
+
         /** Time that callers' load balancer needs to notice that a gateway is not ready. */
         val REDIRECTION_TIME = 2.seconds + 500.milliseconds
         const val BACKLOG = 1024
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
@@ -52,6 +52,11 @@
     private val pools = PoolContext(ports.loop, settings.connectTimeout) { ports.metrics.attempt("connect") }
     private var profiles = emptyMap<ServiceName, ServiceProfile>()
     private var list: InstanceList? = null
+    private val waiting = ArrayList<() -> Unit>()
+
+    /** Whether the process has just started, so that what to serve is about to be known. */
+    var starting = true
+        private set
 
     val names: HeaderNames get() = settings.names
     val log: DecisionLog get() = ports.log
@@ -75,6 +80,17 @@
 
     fun now(): Duration = ports.loop.now()
 
+    /** Calls [action] once the start is over. */
+    fun afterStart(action: () -> Unit) {
+        if (starting) waiting += action else action()
+    }
+
+    /** Ends the start, whether or not it is known what to serve. */
+    fun endStart() {
+        starting = false
+        waiting.toList().also { waiting.clear() }.forEach { it() }
+    }
+
     fun gateways(): Int = ports.gateways()
 
     fun allowance(service: ServiceName): RetryAllowance =
@@ -109,5 +125,6 @@
         val known = list ?: return
         targets = TargetTable.of(known, profiles)
         loads.retain(targets)
+        if (routes != null && starting) endStart()
     }
 }
--- a/gateway/src/main/kotlin/boragering/gateway/OrderDispatcher.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/OrderDispatcher.kt
@@ -13,27 +13,46 @@
  * is sent once more is carried out once, also if the first one arrives late. Used on the event loop only.
  */
 internal class OrderDispatcher(private val port: OrderPort, private val fence: Long, private val log: DecisionLog) {
-    private val counts = HashMap<InstanceStart, Long>()
+    /** Number of orders that an instance has begun; [other] is the number if it did not count the last one. */
+    private class Count(val value: Long, val other: Long? = null)
+
+    private val counts = HashMap<InstanceStart, Count>()
 
     /** Sends [addressed] and tells what became of it. */
     suspend fun send(addressed: AddressedOrder): OrderOutcome {
         val instance = addressed.instance
         val count = counts[instance.start] ?: count(instance).getOrElse { return it.logged(addressed) }
-        val answer = port.send(instance, addressed.order, fence, count)
-        // Whether an order that ends something counts is for the instance to say.
-        val counted = answer == OrderAnswer.Begun && (addressed.order is Order.Join || addressed.order is Order.Stage)
-        if (counted) counts[instance.start] = count + 1 else counts.remove(instance.start)
+        var expected = count.value
+        var answer = port.send(instance, addressed.order, fence, expected)
+        if (answer is OrderAnswer.Conflict && count.other != null) {
+            expected = count.other
+            answer = port.send(instance, addressed.order, fence, expected)
+        }
+        remember(addressed, answer, expected)
         return outcome(answer).logged(addressed)
     }
 
-    private suspend fun count(instance: Instance): Either<OrderOutcome, Long> =
+    /** A report lags, so that it may lack an order that was answered just before. */
+    private fun remember(addressed: AddressedOrder, answer: OrderAnswer, expected: Long) {
+        val start = addressed.instance.start
+        val certain = addressed.order is Order.Join || addressed.order is Order.Stage
+        when {
+            answer == OrderAnswer.Begun && certain -> counts[start] = Count(expected + 1)
+            // Whether an order that ends or opens something counts is for the instance to say.
+            answer == OrderAnswer.Begun || answer == OrderAnswer.InPlace ->
+                counts[start] = Count(expected + 1, other = expected)
+            else -> counts.remove(start)
+        }
+    }
+
+    private suspend fun count(instance: Instance): Either<OrderOutcome, Count> =
         port.report(instance).fold(
             { Either.Left(OrderOutcome.NotSent("no report: ${it.reason}")) },
             { report ->
                 if (report.start != null && report.start != instance.start) {
                     Either.Left(OrderOutcome.NotSent("the address belongs to ${report.start}"))
                 } else {
-                    Either.Right(report.orders)
+                    Either.Right(Count(report.orders))
                 }
             },
         )
--- a/gateway/src/main/kotlin/boragering/gateway/StoreOutage.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/StoreOutage.kt
@@ -30,8 +30,8 @@
         const val ASKED = 8
 
         /**
-         * Time for which a statement holds. A gateway that the store answers again plans only after a longer time, in
-         * which this one hears of it.
+         * Time for which a statement holds. A gateway that the store answers again competes for the planner's lock only
+         * after a longer time, in which this one hears of it.
          */
         private val VALIDITY = 1_500.milliseconds
     }
--- a/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
@@ -69,12 +69,13 @@
 
     init {
         gateway.listen(address)
-        if (configured) {
-            onLoop {
-                gateway.configure(configuration())
-                gateway.instances(list())
-            }
-        }
+        if (configured) configure()
+    }
+
+    /** Tells the gateway what to serve. */
+    fun configure() = onLoop {
+        gateway.configure(configuration())
+        gateway.instances(list())
     }
 
     fun onLoop(action: () -> Unit) {
--- a/gateway/src/test/kotlin/boragering/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/GatewayTest.kt
@@ -59,6 +59,19 @@
             with(GatewayFixture(configured = false)) { caller().call("/idempotent/a").status shouldBe 503 }
         }
 
+        it("just after the start waits until it is known what to serve (guards against refusals at each restart)") {
+            ScriptedTarget { answer(200, "done") }.use { target ->
+                with(GatewayFixture(target, configured = false)) {
+                    val caller = caller()
+                    caller.request("/idempotent/a")
+                    Thread.sleep(300)
+                    configure()
+                    caller.answer()?.status shouldBe 200
+                }
+                target.requests.single().header("time-left").shouldNotBeNull().toInt() shouldBeLessThanOrEqual 3_700
+            }
+        }
+
         it("with two stated lengths of its body never runs (guards against smuggled requests)") {
             ScriptedTarget { answer(200, "done") }.use { target ->
                 with(GatewayFixture(target)) {
--- /dev/null
+++ b/gateway/src/test/kotlin/boragering/gateway/OrderDispatcherTest.kt
@@ -0,0 +1,63 @@
+package boragering.gateway
+
+import arrow.core.Either
+import arrow.core.right
+import boragering.adapters.SystemClock
+import boragering.core.AvailabilityZone
+import boragering.core.GroupId
+import boragering.core.InstanceId
+import boragering.fleet.Address
+import boragering.fleet.AddressedOrder
+import boragering.fleet.GroupEpoch
+import boragering.fleet.Instance
+import boragering.fleet.InstanceStart
+import boragering.fleet.InstanceState
+import boragering.fleet.ModelName
+import boragering.fleet.Order
+import boragering.fleet.OrderOutcome
+import boragering.fleet.ServiceName
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import kotlinx.collections.immutable.persistentListOf
+
+/** An instance whose reports show the number of orders before the last one; [countsLeave] as the platform chooses. */
+private class LaggingInstance(private val countsLeave: Boolean) : OrderPort {
+    private var orders = 4L
+    private var reported = 4L
+    val accepted = ArrayList<Order>()
+
+    override suspend fun send(instance: Instance, order: Order, fence: Long, orders: Long): OrderAnswer {
+        if (orders != this.orders) return OrderAnswer.Conflict("expected $orders, begun ${this.orders}")
+        reported = this.orders
+        if (order !is Order.Leave || countsLeave) this.orders += 1
+        accepted += order
+        return if (order is Order.Leave) OrderAnswer.InPlace else OrderAnswer.Begun
+    }
+
+    override suspend fun report(instance: Instance): Either<ReportFailure, EngineReport> =
+        EngineReport(instance.start, reported, instance).right()
+}
+
+class OrderDispatcherTest : DescribeSpec({
+    val instance = Instance(
+        start = InstanceStart(InstanceId("i1"), 1),
+        service = ServiceName("text"),
+        address = Address("127.0.0.1", 1),
+        availabilityZone = AvailabilityZone("z"),
+        state = InstanceState.SERVING,
+    )
+    val leave = Order.Leave(GroupEpoch(GroupId("g1"), 1))
+    val join = Order.Join(GroupEpoch(GroupId("g2"), 2), ModelName("m"), persistentListOf(instance.id))
+
+    describe("an order that follows another one at once") {
+        listOf(true, false).forEach { counts ->
+            it("is accepted though reports lag, when leaving counts: $counts (guards against a refusal at each regrouping)") {
+                val port = LaggingInstance(countsLeave = counts)
+                val dispatcher = OrderDispatcher(port, fence = 1, DecisionLog(SystemClock))
+                dispatcher.send(AddressedOrder(instance, leave)) shouldBe OrderOutcome.Accepted
+                dispatcher.send(AddressedOrder(instance, join)) shouldBe OrderOutcome.Accepted
+                port.accepted shouldBe listOf(leave, join)
+            }
+        }
+    }
+})
