Spare instances get their weights ready in groups of their own

Change: a spare instance that has staged a model joins a group of its own, which is never opened, and so has the weights ready. Such groups are told by their name, are not adopted, and their members count as free.

Ruled out: joining such a group instead of staging, as a join that replaces one under way could begin the load anew.

GroupPlannerTest "serves again as soon as the loss is known" fails before.

--- a/fleet/src/main/kotlin/boragering/fleet/FormationBook.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/FormationBook.kt
@@ -32,7 +32,7 @@
 
     /** Takes over the listed groups that another planner formed; returns them. */
     fun adopt(state: PoolState, now: Duration): List<Formation> =
-        GroupView.of(state.answering).filter { it.group !in formations && !over(it) }.map { view ->
+        GroupView.of(state.answering).filter { it.group !in formations && !over(it) && !StandbyBook.owns(it.group) }.map { view ->
             Formation(view.group, model(view, state.engine), view.members, now, adopted = true).also(::add)
         }
 
--- a/fleet/src/main/kotlin/boragering/fleet/GroupComposer.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupComposer.kt
@@ -75,6 +75,11 @@
             }
         }
 
+    /** The spare instances whose weights lie on their hosts only, and the model that each of them holds. */
+    fun standbys(): List<Pair<Instance, ModelName>> = free.values.flatten()
+        .filter { it.loaded.isEmpty() && it.start !in input.staging }
+        .mapNotNull { spare -> spare.staged.firstOrNull { it in engine.models }?.let { spare to it } }
+
     private fun take(options: List<Option>, cost: (Option) -> Int): Composition? {
         val order = compareBy<Option> { cost(it) }.thenBy { supply(it.model) }.thenBy { -it.model.groupSize }
         val chosen = options.minWithOrNull(order.thenBy { it.domain.value }) ?: return null
--- a/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
@@ -28,6 +28,7 @@
 class GroupPlanner(private val fence: Long) {
     private val formations = FormationBook()
     private val stagings = StagingBook()
+    private val standbys = StandbyBook()
     private val settling = SettlingPool()
     private val gate = LoadGate()
     private val notes = ArrayList<PlanningNote>()
@@ -95,13 +96,15 @@
     private fun compose(state: PoolState, now: Duration): List<AddressedOrder> {
         settling.observe(state, now)
         stagings.retain(state, now)
+        standbys.retain(state, now)
         val composer = GroupComposer(input(state, now))
         val compositions = when {
             !formations.unused -> composer.compose()
             settling.settled(now) -> composer.divide()
             else -> emptyList()
         }
-        return compositions.flatMap { form(it, state, now) } + stage(composer, state, now)
+        return compositions.flatMap { form(it, state, now) } + stage(composer, state, now) +
+            prepare(composer, now)
     }
 
     private fun input(state: PoolState, now: Duration): CompositionInput {
@@ -120,8 +123,7 @@
     }
 
     private fun form(composition: Composition, state: PoolState, now: Duration): List<AddressedOrder> {
-        compositions += 1
-        val epoch = fence * COMPOSITIONS_PER_PLANNER + compositions
+        val epoch = nextEpoch()
         val group = GroupEpoch(GroupId("group-$epoch"), epoch)
         val members = composition.members.toPersistentList()
         val formation = Formation(group, composition.model, members, now, adopted = false)
@@ -138,8 +140,20 @@
             }
     }
 
+    /** Spare instances that hold weights get them ready, unless the pool is about to be divided. */
+    private fun prepare(composer: GroupComposer, now: Duration): List<AddressedOrder> {
+        if (formations.unused) return emptyList()
+        return composer.standbys().filter { (instance, _) -> instance !in standbys }
+            .map { (instance, model) -> standbys.order(instance, model, nextEpoch(), now) }
+    }
+
+    private fun nextEpoch(): Long {
+        compositions += 1
+        return fence * COMPOSITIONS_PER_PLANNER + compositions
+    }
+
     private companion object {
         /** Epochs of one planner; its successor's fence is at least one higher. */
-        const val COMPOSITIONS_PER_PLANNER = 1_000L
+        const val COMPOSITIONS_PER_PLANNER = 1_000_000L
     }
 }
--- a/fleet/src/test/kotlin/boragering/fleet/FakePool.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/FakePool.kt
@@ -258,9 +258,11 @@
         return TargetTable.of(list, mapOf(profile.name to profile))
     }
 
-    private companion object {
-        val STEP = 100.milliseconds
-        val LIST_LAG = 300.milliseconds
+    companion object {
+        private val STEP = 100.milliseconds
+        private val LIST_LAG = 300.milliseconds
+
+        /** Time for which the list shows an instance that has ended. */
         val LISTED_AFTER_DEATH = 3.seconds
     }
 }
--- a/fleet/src/test/kotlin/boragering/fleet/GroupPlannerTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/GroupPlannerTest.kt
@@ -57,8 +57,9 @@
         }
 
         it("has spare instances for each model (guards against a model that a loss leaves without a spare)") {
-            val spares = pool.instances.filter { it.membership == null }
-            spares.flatMap { it.listed().staged }.toSet() shouldBe setOf(large, small)
+            val grouped = pool.instances.groupBy { it.membership?.group }.filterValues { it.size > 1 }
+            val spares = pool.instances.filter { it.membership?.group !in grouped }
+            spares.flatMap { it.listed().loaded }.toSet() shouldBe setOf(large, small)
         }
     }
 
@@ -72,6 +73,14 @@
             pool.breaches.shouldBeEmpty()
         }
 
+        it("serves again as soon as the loss is known (guards against a warm-up at each loss)") {
+            val pool = FakePool(Random(2))
+            pool.run(120.seconds)
+            pool.kill(pool.memberOf(model = 4))
+            pool.run(FakePool.LISTED_AFTER_DEATH + 1.7.seconds)
+            pool.targets()[large] shouldBe 3
+        }
+
         it("leaves its members free for others when no spare is left (guards against stranded instances)") {
             val pool = FakePool(Random(3), domains = 1)
             pool.run(90.seconds)
