--- a/gateway/src/main/kotlin/boragering/gateway/Follower.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Follower.kt
@@ -31,7 +31,10 @@
 
     /** Whether the store was out of reach, or not asked yet, and has been back for a short time only. */
     val recovering: Boolean
-        get() = contact.lostAt != null || contact.regainedAt.let { it != null && loop.now() - it < RECOVERY_TIME }
+        get() {
+            val recovery = if (contact.knownBefore) OUTAGE_NOTICE else RECOVERY_TIME
+            return contact.lostAt != null || contact.regainedAt.let { it != null && loop.now() - it < recovery }
+        }
 
     /** Whether entries that disappear now may belong to instances that live. */
     val entriesMayReturn: Boolean get() = contact.entriesMayReturn(loop.now())
@@ -94,6 +97,9 @@
         val RETRY_INTERVAL = 250.milliseconds
         val FRESHNESS = 3.seconds
 
+        /** Time after which the planner of an outage has learned that the store is back. */
+        val OUTAGE_NOTICE = 1_800.milliseconds
+
         /** Time after which entries that expired while the store was out of reach are back. */
         val RECOVERY_TIME = 2_500.milliseconds
     }
--- a/gateway/src/main/kotlin/boragering/gateway/PlannerLoop.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PlannerLoop.kt
@@ -14,9 +14,11 @@
 import boragering.fleet.PoolState
 import boragering.fleet.ServiceName
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -128,7 +130,7 @@
         const val LOCK_KEY = PlannerLock.KEY
 
         private val IDLE_INTERVAL = 200.milliseconds
-        private val STEP_INTERVAL = 150.milliseconds
+        private val STEP_INTERVAL = 100.milliseconds
         private val RENEWAL_CHECK = 200.milliseconds
 
         /** Gateways that see the lock free do not all try at the same moment. */
@@ -199,19 +201,24 @@
     /** Finds out whether a member of a group that seems to have failed answers. */
     private suspend fun probe(member: Instance) {
         if (!probing.add(member.start)) return
-        var failures = 0
-        while (failures < PROBES && ports.orders.report(member).isLeft()) failures += 1
-        if (failures == PROBES) {
+        if (!answers(member)) {
             unreachable[member.start] = ports.loop.now() + UNREACHABLE_TIME
-            ports.log.state("instance-unreachable", "instance" to member.start, "probes" to failures)
+            ports.log.state("instance-unreachable", "instance" to member.start)
         }
         delay(PROBE_INTERVAL)
         probing.remove(member.start)
     }
 
+    /** Whether [member] answers a probe, or the second one, which does not wait for the end of the first. */
+    private suspend fun answers(member: Instance): Boolean = coroutineScope {
+        val first = async { ports.orders.report(member).isRight() }
+        val prompt = withTimeoutOrNull(PROBE_SPACING) { first.await() }
+        prompt == true || ports.orders.report(member).isRight() || first.await()
+    }
+
     private companion object {
-        /** Probes without an answer after which a member of a failing group counts as lost. */
-        const val PROBES = 2
+        /** Time after which a probe without an answer is followed by another one. */
+        val PROBE_SPACING = 150.milliseconds
 
         /** Time after which an instance that did not answer is tried again, if it is still listed. */
         val UNREACHABLE_TIME = 6.seconds
--- a/gateway/src/main/kotlin/boragering/gateway/StoreContact.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/StoreContact.kt
@@ -17,6 +17,10 @@
     var lostAt: Duration? = null
         private set
 
+    /** Whether it answered before the last loss, so that what it held then is known. */
+    var knownBefore = false
+        private set
+
     /** When it answered first, or again after a loss. */
     var regainedAt: Duration? = null
         private set
@@ -37,6 +41,7 @@
     /** The store answers at [now]; for how long it did not, `null` if it did before. */
     fun answered(now: Duration): Duration? {
         val since = lostAt
+        if (since != null && regainedAt != null) knownBefore = true
         if (since != null || regainedAt == null) regainedAt = now
         if (since != null && now - since >= EXPIRY && !answeredOthers(now)) returnedAt = now
         lostAt = null
--- a/gateway/src/test/kotlin/boragering/gateway/StoreContactTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/StoreContactTest.kt
@@ -12,6 +12,16 @@
         answered(end.seconds)
     }
 
+    describe("what the store held before it was away") {
+        it("is known after a return (guards against a planner that waits as after a start)") {
+            lostFrom10To(end = 16).knownBefore shouldBe true
+        }
+
+        it("is not known after the first answer (guards against groups judged by half a list)") {
+            StoreContact().apply { answered(1.seconds) }.knownBefore shouldBe false
+        }
+    }
+
     describe("entries that disappear after the store was away") {
         it("may return when it answered nobody (guards against the loss of all targets)") {
             lostFrom10To(end = 16).entriesMayReturn(17.seconds) shouldBe true
