Form groups once their members hold the weights; stage what completes groups

A group with a lost member was formed anew at once, also when the only instance left had to load the weights first (16 s), and three instances that had them were bound to it. Instances with the weights that came back to the domain meanwhile were not used.

Change: a group is formed once all its members hold the weights; until then they stay free. StagingPlan decides what spare instances load: first what completes a group of a model that lacks groups, the nearest first; otherwise the model of which the domain holds least. A spare instance that holds another model changes if at least half of such a group is there. SparePreparation and GroupEpochs are divided from the planner, which had grown to 13 functions.

Ruled out: ending a formation when a better member appears; it would need a leave and a new epoch for what a wait gives at no cost.

GroupPlannerTest "waits for no load when a holder of the weights comes" fails before.

--- a/fleet/src/main/kotlin/boragering/fleet/Configuration.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/Configuration.kt
@@ -128,7 +128,14 @@
     val share: Double,
     val loadTime: Duration,
     val warmupTime: Duration,
-)
+) {
+    /** The share, with a least value, to divide by. */
+    internal val weight: Double get() = share.coerceAtLeast(SMALLEST_SHARE)
+
+    private companion object {
+        const val SMALLEST_SHARE = 0.01
+    }
+}
 
 /** What callers may send, and how long they may take. Sizes in bytes. */
 data class CallerLimits(
--- a/fleet/src/main/kotlin/boragering/fleet/FormationBook.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/FormationBook.kt
@@ -32,9 +32,10 @@
 
     /** Takes over the listed groups that another planner formed; returns them. */
     fun adopt(state: PoolState, now: Duration): List<Formation> =
-        GroupView.of(state.answering).filter { it.group !in formations && !over(it) && !StandbyBook.owns(it.group) }.map { view ->
-            Formation(view.group, model(view, state.engine), view.members, now, adopted = true).also(::add)
-        }
+        GroupView.of(state.answering)
+            .filter { it.group !in formations && !over(it) && !GroupEpochs.standby(it.group) }
+            .map { Formation(it.group, model(it, state.engine), it.members, now, adopted = true) }
+            .onEach(::add)
 
     /** Number of instances in groups of each model that do not end. */
     fun assigned(): Map<ModelName, Int> =
--- a/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
@@ -1,6 +1,5 @@
 package boragering.fleet
 
-import boragering.core.GroupId
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
@@ -25,14 +24,13 @@
  *
  * @param fence grows from planner to planner.
  */
-class GroupPlanner(private val fence: Long) {
+class GroupPlanner(fence: Long) {
     private val formations = FormationBook()
-    private val stagings = StagingBook()
-    private val standbys = StandbyBook()
+    private val epochs = GroupEpochs(fence)
+    private val spares = SparePreparation(epochs)
     private val settling = SettlingPool()
     private val gate = LoadGate()
     private val notes = ArrayList<PlanningNote>()
-    private var compositions = 0L
     private var started = false
 
     /** Decides what to do at [now], a time of the monotonic clock. */
@@ -47,7 +45,7 @@
 
     /** Takes the outcome of an order that [step] asked for. */
     fun answered(addressed: AddressedOrder, outcome: OrderOutcome) {
-        stagings.answered(addressed, outcome)
+        spares.answered(addressed, outcome)
         val sent = formations[addressed.order.group]?.sent?.get(addressed.instance.id)
         if (sent?.order == addressed.order) sent.outcome = outcome
     }
@@ -87,24 +85,26 @@
 
     private fun permitted(addressed: AddressedOrder, state: PoolState, now: Duration): Boolean {
         val model = (addressed.order as? Order.Join)?.model ?: return true
-        val begun = addressed.instance.holds(model) || stagings.models[addressed.instance.start] == model
+        val begun = addressed.instance.holds(model) || spares.staging[addressed.instance.start] == model
         return begun || gate.take(now, loading(state), state.engine)
     }
 
-    private fun loading(state: PoolState): Int = formations.loading(state) + stagings.loading(state)
+    private fun loading(state: PoolState): Int = formations.loading(state) + spares.loading(state)
 
     private fun compose(state: PoolState, now: Duration): List<AddressedOrder> {
         settling.observe(state, now)
-        stagings.retain(state, now)
-        standbys.retain(state, now)
+        spares.retain(state, now)
         val composer = GroupComposer(input(state, now))
         val compositions = when {
             !formations.unused -> composer.compose()
             settling.settled(now) -> composer.divide()
             else -> emptyList()
         }
-        return compositions.flatMap { form(it, state, now) } + stage(composer, state, now) +
-            prepare(composer, now)
+        val formed = compositions.flatMap { form(it, state, now) }
+        val staged = spares.stage(composer, state, now) { gate.take(now, loading(state), state.engine) }
+        // The pool is about to be divided; its instances get their weights ready in their groups.
+        val warmed = if (formations.unused) emptyList() else spares.warm(composer.spares, state, now)
+        return formed + staged + warmed
     }
 
     private fun input(state: PoolState, now: Duration): CompositionInput {
@@ -117,43 +117,16 @@
             waiting = free.keys.filterTo(HashSet()) { it in ending || settling.growing(it, now) },
             usable = state.serving.groupingBy { it.groupDomain }.eachCount(),
             assigned = formations.assigned(),
-            staging = stagings.models,
-            loads = state.engine.loadsAtOnce - loading(state),
+            staging = spares.staging,
         )
     }
 
     private fun form(composition: Composition, state: PoolState, now: Duration): List<AddressedOrder> {
-        val epoch = nextEpoch()
-        val group = GroupEpoch(GroupId("group-$epoch"), epoch)
+        val group = epochs.group()
         val members = composition.members.toPersistentList()
         val formation = Formation(group, composition.model, members, now, adopted = false)
         formations.add(formation)
         notes += PlanningNote(group, "group-formed", "${composition.model} of ${members.joinToString { it.id.value }}")
         return advance(formation, state, now)
     }
-
-    private fun stage(composer: GroupComposer, state: PoolState, now: Duration): List<AddressedOrder> {
-        return composer.stagings { domain, model -> stagings.holders(state, domain, model) }
-            .mapNotNull { (instance, model) ->
-                val permitted = instance !in stagings && gate.take(now, loading(state), state.engine)
-                if (permitted) stagings.order(instance, model, now) else null
-            }
-    }
-
-    /** Spare instances that hold weights get them ready, unless the pool is about to be divided. */
-    private fun prepare(composer: GroupComposer, now: Duration): List<AddressedOrder> {
-        if (formations.unused) return emptyList()
-        return composer.standbys().filter { (instance, _) -> instance !in standbys }
-            .map { (instance, model) -> standbys.order(instance, model, nextEpoch(), now) }
-    }
-
-    private fun nextEpoch(): Long {
-        compositions += 1
-        return fence * COMPOSITIONS_PER_PLANNER + compositions
-    }
-
-    private companion object {
-        /** Epochs of one planner; its successor's fence is at least one higher. */
-        const val COMPOSITIONS_PER_PLANNER = 1_000_000L
-    }
 }
--- a/fleet/src/main/kotlin/boragering/fleet/SettlingPool.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/SettlingPool.kt
@@ -22,7 +22,10 @@
     fun settled(now: Duration): Boolean = grownAt.isNotEmpty() && grownAt.values.all { now - it >= FIRST_SETTLING }
 
     /** Whether instances came to [domain] just before [now]. */
-    fun growing(domain: FabricDomain, now: Duration): Boolean = grownAt[domain].let { it != null && now - it < SETTLING }
+    fun growing(domain: FabricDomain, now: Duration): Boolean {
+        val since = grownAt[domain]
+        return since != null && now - since < SETTLING
+    }
 
     private companion object {
         /** Instances that start together list themselves within a heartbeat of each other. */
--- a/fleet/src/main/kotlin/boragering/fleet/StandbyBook.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/StandbyBook.kt
@@ -1,6 +1,5 @@
 package boragering.fleet
 
-import boragering.core.GroupId
 import kotlinx.collections.immutable.persistentListOf
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -23,19 +22,14 @@
     /** Whether [instance] was told to get ready. */
     operator fun contains(instance: Instance): Boolean = instance.start in orderedAt
 
-    /** Notes that [instance] is told at [now] to get ready for [model], and returns the order. */
-    fun order(instance: Instance, model: ModelName, epoch: Long, now: Duration): AddressedOrder {
+    /** Notes that [instance] is told at [now] to get ready for [model] in [group], and returns the order. */
+    fun order(instance: Instance, model: ModelName, group: GroupEpoch, now: Duration): AddressedOrder {
         orderedAt[instance.start] = now
-        val group = GroupEpoch(GroupId("$NAME_PREFIX$epoch"), epoch)
         return AddressedOrder(instance, Order.Join(group, model, persistentListOf(instance.id)))
     }
 
-    /** Tells such groups from others. */
-    companion object {
-        private const val NAME_PREFIX = "standby-"
-        private val RETRY_INTERVAL = 5.seconds
-
-        /** Whether [group] is that of one spare instance. */
-        fun owns(group: GroupEpoch): Boolean = group.group.value.startsWith(NAME_PREFIX)
+    private companion object {
+        /** Time after which an instance that is not ready is asked again. */
+        val RETRY_INTERVAL = 5.seconds
     }
 }
--- a/fleet/src/test/kotlin/boragering/fleet/FakePool.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/FakePool.kt
@@ -37,7 +37,12 @@
 }
 
 /** An engine instance that follows the engines' published rules, without a network. */
-internal class FakeInstance(val id: InstanceId, val domain: FabricDomain, val startedAt: Long) {
+internal class FakeInstance(
+    val id: InstanceId,
+    val domain: FabricDomain,
+    val startedAt: Long,
+    private var staged: ModelName? = null,
+) {
     private var readyAt: Duration? = null
     private var openAt: Duration? = null
     private var highestEpoch = 0L
@@ -45,7 +50,6 @@
     private var state: MemberState? = null
     private var loaded: ModelName? = null
     private var stagedAt: Pair<ModelName, Duration>? = null
-    private var staged: ModelName? = null
 
     var alive = true
     var leaving = false
@@ -161,9 +165,9 @@
         repeat(domains) { domain -> repeat(perDomain) { add(FabricDomain("d$domain")) } }
     }
 
-    fun add(domain: FabricDomain) {
+    fun add(domain: FabricDomain, staged: ModelName? = null) {
         started += 1
-        instances += FakeInstance(InstanceId("i$started"), domain, started)
+        instances += FakeInstance(InstanceId("i$started"), domain, started, staged)
     }
 
     /** Another gateway becomes the planner; what the former one remembers is lost. */
--- a/fleet/src/test/kotlin/boragering/fleet/GroupPlannerTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/GroupPlannerTest.kt
@@ -81,6 +81,22 @@
             pool.targets()[large] shouldBe 3
         }
 
+        it("waits for no load when a holder of the weights comes (guards against members bound to a load)") {
+            val pool = FakePool(Random(9), domains = 1)
+            pool.run(120.seconds)
+            val lost = pool.memberOf(model = 4)
+            pool.instances.filter { spare -> spare.membership?.let { GroupEpochs.standby(it.group) } == true }
+                .forEach(pool::kill)
+            pool.kill(lost)
+            pool.run(5.seconds)
+            pool.add(FabricDomain("d0"))
+            pool.run(3.seconds)
+            pool.add(FabricDomain("d0"), staged = large)
+            pool.run(6.seconds)
+            pool.targets()[large] shouldBe 1
+            pool.breaches.shouldBeEmpty()
+        }
+
         it("leaves its members free for others when no spare is left (guards against stranded instances)") {
             val pool = FakePool(Random(3), domains = 1)
             pool.run(90.seconds)
--- a/gateway/src/test/kotlin/boragering/gateway/OrderDispatcherTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/OrderDispatcherTest.kt
@@ -51,7 +51,7 @@
 
     describe("an order that follows another one at once") {
         listOf(true, false).forEach { counts ->
-            it("is accepted though reports lag, when leaving counts: $counts (guards against a refusal at each regrouping)") {
+            it("is accepted though reports lag, leaving counts: $counts (guards against refusals at regroupings)") {
                 val port = LaggingInstance(countsLeave = counts)
                 val dispatcher = OrderDispatcher(port, fence = 1, DecisionLog(SystemClock))
                 dispatcher.send(AddressedOrder(instance, leave)) shouldBe OrderOutcome.Accepted
