Leave spares when a model gets groups beyond its share

Change: a group beyond its model's share of the work is formed only if its domain keeps a spare instance for each model.

--- a/fleet/src/main/kotlin/boragering/fleet/Configuration.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/Configuration.kt
@@ -132,7 +132,12 @@
     /** The share, with a least value, to divide by. */
     internal val weight: Double get() = share.coerceAtLeast(SMALLEST_SHARE)
 
+    /** How many of [usable] instances of a domain groups of the model should have, by its share of the work. */
+    internal fun instancesInGroups(usable: Int): Int = (share * usable / groupSize + ROUNDING).toInt() * groupSize
+
     private companion object {
+        /** Part of a group from which on a domain should have one more. */
+        const val ROUNDING = 0.3
         const val SMALLEST_SHARE = 0.01
     }
 }
--- a/fleet/src/main/kotlin/boragering/fleet/GroupComposer.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupComposer.kt
@@ -62,7 +62,7 @@
     fun compose(): List<Composition> = generateSequence {
         val domains = free.keys - input.waiting
         val options = engine.models.values.flatMap { model -> domains.mapNotNull { option(model, it) } }
-        take(options.filter { it.ready && balanced(it) })
+        take(options.filter { it.ready && balanced(it) && bearable(it) })
     }.toList()
 
     /** What the remaining spare instances should stage, the most urgent first. */
@@ -91,7 +91,13 @@
     }
 
     private fun lacks(model: ModelProfile): Boolean =
-        (assigned[model.name] ?: 0) < input.usable.keys.sumOf { inGroups(model, it) }
+        (assigned[model.name] ?: 0) < input.usable.values.sumOf(model::instancesInGroups)
+
+    /** A group beyond its model's share leaves a spare instance for each model, as losses go on. */
+    private fun bearable(option: Option): Boolean {
+        val left = free.getValue(option.domain).size - option.model.groupSize
+        return lacks(option.model) || left >= engine.models.size
+    }
 
     private fun balanced(option: Option): Boolean {
         val scarcest = engine.models.values.minOf(::supply)
@@ -107,20 +113,11 @@
         else -> LOAD_COST
     }
 
-    /** Instances of [domain] that groups of [model] should have, by its share of the work. */
-    private fun inGroups(model: ModelProfile, domain: FabricDomain): Int {
-        val groups = model.share * (input.usable[domain] ?: 0) / model.groupSize
-        return (groups + ROUNDING).toInt() * model.groupSize
-    }
-
     private companion object {
         const val INSTANCES_PER_SPARE = 8
 
         /** Models with more than this multiple of the scarcest model's supply leave their instances to it. */
         const val TOLERATED_IMBALANCE = 1.5
-
-        /** Part of a group from which on a domain should have one more. */
-        const val ROUNDING = 0.3
         const val STAGED_COST = 1
         const val STAGING_COST = 2
         const val LOAD_COST = 10
