--- a/adapters/src/main/kotlin/boragering/adapters/HttpLiveList.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/HttpLiveList.kt
@@ -3,9 +3,9 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import boragering.core.ListedInstance
-import boragering.core.LiveList
-import boragering.core.LiveListFailure
+import boragering.core.groups.ListedInstance
+import boragering.core.groups.LiveList
+import boragering.core.groups.LiveListFailure
 import io.ktor.client.HttpClient
 import io.ktor.client.request.get
 import io.ktor.client.statement.bodyAsText
--- a/adapters/src/main/kotlin/boragering/adapters/PeerConnection.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/PeerConnection.kt
@@ -2,11 +2,11 @@
 
 import arrow.core.getOrElse
 import boragering.core.DaemonId
-import boragering.core.HandshakeMessage
-import boragering.core.HandshakeStep
-import boragering.core.PeerEnvelope
-import boragering.core.PeerProtocol
-import boragering.core.kind
+import boragering.core.membership.HandshakeMessage
+import boragering.core.membership.HandshakeStep
+import boragering.core.membership.PeerEnvelope
+import boragering.core.membership.PeerProtocol
+import boragering.core.membership.kind
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
--- a/adapters/src/main/kotlin/boragering/adapters/PeerCounters.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/PeerCounters.kt
@@ -1,7 +1,7 @@
 package boragering.adapters
 
-import boragering.core.PeerMessageKind
-import boragering.core.PeerTraffic
+import boragering.core.membership.PeerMessageKind
+import boragering.core.membership.PeerTraffic
 
 /** Counts the traffic between daemons. */
 class PeerCounters(registry: MetricRegistry) : PeerTraffic {
--- a/adapters/src/main/kotlin/boragering/adapters/PeerLinkSettings.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/PeerLinkSettings.kt
@@ -2,10 +2,10 @@
 
 import boragering.core.Clock
 import boragering.core.DaemonId
-import boragering.core.HybridTime
-import boragering.core.LockedRandom
-import boragering.core.PeerEnvelope
-import boragering.core.PeerTraffic
+import boragering.core.membership.LockedRandom
+import boragering.core.membership.PeerEnvelope
+import boragering.core.membership.PeerTraffic
+import boragering.core.timeline.HybridTime
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
--- a/adapters/src/main/kotlin/boragering/adapters/PeerWire.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/PeerWire.kt
@@ -1,6 +1,6 @@
 package boragering.adapters
 
-import boragering.core.PeerEnvelope
+import boragering.core.membership.PeerEnvelope
 
 /** The bodies of frames between daemons, for measurements of their size and cost. */
 object PeerWire {
--- a/adapters/src/main/kotlin/boragering/adapters/SendQueue.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/SendQueue.kt
@@ -1,7 +1,7 @@
 package boragering.adapters
 
-import boragering.core.PeerMessageKind
-import boragering.core.PeerTraffic
+import boragering.core.membership.PeerMessageKind
+import boragering.core.membership.PeerTraffic
 import kotlinx.coroutines.channels.Channel
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
--- a/adapters/src/main/kotlin/boragering/adapters/SocketPeerLink.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/SocketPeerLink.kt
@@ -1,14 +1,14 @@
 package boragering.adapters
 
 import boragering.core.DaemonId
-import boragering.core.HandshakeIdentity
-import boragering.core.LinkRole
-import boragering.core.PeerEnvelope
-import boragering.core.PeerLink
-import boragering.core.PeerMessage
-import boragering.core.PeerProtocol
-import boragering.core.SeedLink
-import boragering.core.kind
+import boragering.core.membership.HandshakeIdentity
+import boragering.core.membership.LinkRole
+import boragering.core.membership.PeerEnvelope
+import boragering.core.membership.PeerLink
+import boragering.core.membership.PeerMessage
+import boragering.core.membership.PeerProtocol
+import boragering.core.membership.SeedLink
+import boragering.core.membership.kind
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.ServerSocket
--- a/adapters/src/test/kotlin/boragering/adapters/LinkFixture.kt
+++ b/adapters/src/test/kotlin/boragering/adapters/LinkFixture.kt
@@ -2,14 +2,14 @@
 
 import boragering.core.Clock
 import boragering.core.DaemonId
-import boragering.core.HandshakeIdentity
-import boragering.core.HybridTime
-import boragering.core.LinkRole
-import boragering.core.PeerEnvelope
-import boragering.core.PeerMessage
-import boragering.core.PeerMessageKind
-import boragering.core.PeerProtocol
-import boragering.core.PeerTraffic
+import boragering.core.membership.HandshakeIdentity
+import boragering.core.membership.LinkRole
+import boragering.core.membership.PeerEnvelope
+import boragering.core.membership.PeerMessage
+import boragering.core.membership.PeerMessageKind
+import boragering.core.membership.PeerProtocol
+import boragering.core.membership.PeerTraffic
+import boragering.core.timeline.HybridTime
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.Dispatchers
--- a/adapters/src/test/kotlin/boragering/adapters/SendQueueTest.kt
+++ b/adapters/src/test/kotlin/boragering/adapters/SendQueueTest.kt
@@ -1,7 +1,7 @@
 package boragering.adapters
 
-import boragering.core.PeerMessageKind
-import boragering.core.PeerTraffic
+import boragering.core.membership.PeerMessageKind
+import boragering.core.membership.PeerTraffic
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
--- a/adapters/src/test/kotlin/boragering/adapters/SocketPeerLinkTest.kt
+++ b/adapters/src/test/kotlin/boragering/adapters/SocketPeerLinkTest.kt
@@ -1,10 +1,10 @@
 package boragering.adapters
 
 import boragering.core.DaemonId
-import boragering.core.HybridTime
-import boragering.core.Item
-import boragering.core.PeerEnvelope
-import boragering.core.PeerMessage
+import boragering.core.membership.Item
+import boragering.core.membership.PeerEnvelope
+import boragering.core.membership.PeerMessage
+import boragering.core.timeline.HybridTime
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
--- a/client/src/main/kotlin/boragering/client/ApplyCommand.kt
+++ b/client/src/main/kotlin/boragering/client/ApplyCommand.kt
@@ -3,10 +3,10 @@
 import arrow.core.getOrElse
 import arrow.core.raise.Raise
 import arrow.core.raise.ensure
-import boragering.core.ApplyAnswer
-import boragering.core.ApplyRequest
-import boragering.core.ApplyResult
-import boragering.core.CatalogueReader
+import boragering.core.catalogue.ApplyAnswer
+import boragering.core.catalogue.ApplyRequest
+import boragering.core.catalogue.ApplyResult
+import boragering.core.catalogue.CatalogueReader
 import org.kohsuke.args4j.Argument
 import org.kohsuke.args4j.Option
 import java.util.UUID
--- a/client/src/main/kotlin/boragering/client/CatalogueCommands.kt
+++ b/client/src/main/kotlin/boragering/client/CatalogueCommands.kt
@@ -2,14 +2,14 @@
 
 import arrow.core.getOrElse
 import arrow.core.raise.Raise
-import boragering.core.CatalogueAnswer
-import boragering.core.CatalogueDiff
-import boragering.core.CatalogueDifference
-import boragering.core.CatalogueDocument
-import boragering.core.CatalogueReader
 import boragering.core.Finding
-import boragering.core.HistoryAnswer
-import boragering.core.TimelineText
+import boragering.core.catalogue.CatalogueAnswer
+import boragering.core.catalogue.CatalogueDiff
+import boragering.core.catalogue.CatalogueDifference
+import boragering.core.catalogue.CatalogueDocument
+import boragering.core.catalogue.CatalogueReader
+import boragering.core.catalogue.HistoryAnswer
+import boragering.core.timeline.TimelineText
 import kotlinx.serialization.Serializable
 import org.kohsuke.args4j.Argument
 
--- a/client/src/main/kotlin/boragering/client/Command.kt
+++ b/client/src/main/kotlin/boragering/client/Command.kt
@@ -4,7 +4,7 @@
 import arrow.core.raise.Raise
 import arrow.core.raise.either
 import arrow.core.raise.ensure
-import boragering.core.UnitReader
+import boragering.core.catalogue.UnitReader
 import org.kohsuke.args4j.Option
 import java.io.IOException
 import java.nio.file.Files
--- a/client/src/main/kotlin/boragering/client/Daemons.kt
+++ b/client/src/main/kotlin/boragering/client/Daemons.kt
@@ -3,7 +3,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.raise.Raise
-import boragering.core.PeersAnswer
+import boragering.core.operators.PeersAnswer
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
--- a/client/src/main/kotlin/boragering/client/StatusCommands.kt
+++ b/client/src/main/kotlin/boragering/client/StatusCommands.kt
@@ -1,11 +1,11 @@
 package boragering.client
 
 import arrow.core.raise.Raise
-import boragering.core.GroupPhase
-import boragering.core.GroupStatus
-import boragering.core.GroupsAnswer
-import boragering.core.StatusAnswer
-import boragering.core.TimelineText
+import boragering.core.groups.GroupPhase
+import boragering.core.groups.GroupStatus
+import boragering.core.groups.GroupsAnswer
+import boragering.core.operators.StatusAnswer
+import boragering.core.timeline.TimelineText
 import kotlinx.serialization.Serializable
 
 /** The state of the whole system, as `--output json` prints it. */
--- a/client/src/main/kotlin/boragering/client/Submission.kt
+++ b/client/src/main/kotlin/boragering/client/Submission.kt
@@ -2,10 +2,10 @@
 
 import arrow.core.Either
 import arrow.core.raise.Raise
-import boragering.core.ApplyAnswer
-import boragering.core.ApplyRequest
-import boragering.core.ApplyResult
-import boragering.core.CatalogueWriter
+import boragering.core.catalogue.ApplyAnswer
+import boragering.core.catalogue.ApplyRequest
+import boragering.core.catalogue.ApplyResult
+import boragering.core.catalogue.CatalogueWriter
 import kotlinx.coroutines.delay
 import kotlinx.serialization.SerializationException
 import kotlin.time.Duration.Companion.milliseconds
--- a/client/src/main/kotlin/boragering/client/TimelineCommands.kt
+++ b/client/src/main/kotlin/boragering/client/TimelineCommands.kt
@@ -2,14 +2,14 @@
 
 import arrow.core.raise.Raise
 import arrow.core.raise.ensure
-import boragering.core.RequestAnswer
-import boragering.core.TimelineAnswer
-import boragering.core.TimelineBuffer
-import boragering.core.TimelineEvent
-import boragering.core.TimelinePage
-import boragering.core.TimelineText
-import boragering.core.UnitReader
-import boragering.core.mergeTimelines
+import boragering.core.catalogue.UnitReader
+import boragering.core.operators.RequestAnswer
+import boragering.core.operators.TimelineAnswer
+import boragering.core.timeline.TimelineBuffer
+import boragering.core.timeline.TimelineEvent
+import boragering.core.timeline.TimelinePage
+import boragering.core.timeline.TimelineText
+import boragering.core.timeline.mergeTimelines
 import io.ktor.http.encodeURLPathPart
 import kotlinx.serialization.Serializable
 import org.kohsuke.args4j.Argument
--- a/client/src/test/kotlin/boragering/client/ApplyCommandTest.kt
+++ b/client/src/test/kotlin/boragering/client/ApplyCommandTest.kt
@@ -1,8 +1,8 @@
 package boragering.client
 
-import boragering.core.ApplyAnswer
-import boragering.core.ApplyRequest
-import boragering.core.ApplyResult
+import boragering.core.catalogue.ApplyAnswer
+import boragering.core.catalogue.ApplyRequest
+import boragering.core.catalogue.ApplyResult
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.engine.spec.tempfile
 import io.kotest.matchers.collections.shouldBeEmpty
--- a/core/src/main/kotlin/boragering/core/Catalogue.kt
+++ b/core/src/main/kotlin/boragering/core/catalogue/Catalogue.kt
@@ -1,5 +1,7 @@
-package boragering.core
+package boragering.core.catalogue
 
+import boragering.core.EntryName
+import boragering.core.OrganisationName
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlin.time.Duration
--- a/core/src/main/kotlin/boragering/core/CatalogueChecks.kt
+++ b/core/src/main/kotlin/boragering/core/catalogue/CatalogueChecks.kt
@@ -1,4 +1,4 @@
-package boragering.core
+package boragering.core.catalogue
 
 /** Checks that concern several parts of the operators' document. */
 internal object CatalogueChecks {
--- a/core/src/main/kotlin/boragering/core/CatalogueCompaction.kt
+++ b/core/src/main/kotlin/boragering/core/catalogue/CatalogueCompaction.kt
@@ -1,6 +1,11 @@
-package boragering.core
+package boragering.core.catalogue
 
 import arrow.core.getOrElse
+import boragering.core.Store
+import boragering.core.StoreRevision
+import boragering.core.SwapOutcome
+import boragering.core.membership.Item
+import boragering.core.membership.Items
 
 /**
  * Keeps the head small. The snapshot is written before the head omits the changes in it, so that an interruption at any
--- a/core/src/main/kotlin/boragering/core/CatalogueDiff.kt
+++ b/core/src/main/kotlin/boragering/core/catalogue/CatalogueDiff.kt
@@ -1,5 +1,7 @@
-package boragering.core
+package boragering.core.catalogue
 
+import boragering.core.EntryName
+import boragering.core.OrganisationName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
--- a/core/src/main/kotlin/boragering/core/CatalogueDocuments.kt
+++ b/core/src/main/kotlin/boragering/core/catalogue/CatalogueDocuments.kt
@@ -1,9 +1,11 @@
-package boragering.core
+package boragering.core.catalogue
 
 import arrow.core.Either
 import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
+import boragering.core.EntryName
+import boragering.core.OrganisationName
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
--- a/core/src/main/kotlin/boragering/core/CatalogueFollower.kt
+++ b/core/src/main/kotlin/boragering/core/catalogue/CatalogueFollower.kt
@@ -1,6 +1,12 @@
-package boragering.core
+package boragering.core.catalogue
 
 import arrow.core.Either
+import boragering.core.Store
+import boragering.core.StoreFailure
+import boragering.core.StoreRevision
+import boragering.core.StoredValue
+import boragering.core.membership.Peers
+import boragering.core.membership.ranked
 import kotlinx.coroutines.channels.consumeEach
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
--- a/core/src/main/kotlin/boragering/core/CatalogueLoader.kt
+++ b/core/src/main/kotlin/boragering/core/catalogue/CatalogueLoader.kt
@@ -1,9 +1,13 @@
-package boragering.core
+package boragering.core.catalogue
 
 import arrow.core.Either
 import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
+import boragering.core.Store
+import boragering.core.StoreFailure
+import boragering.core.StoreRevision
+import boragering.core.StoredValue
 
 /**
  * The stored catalogue as one read found it: [base] with the changes of [head] is [state]. [storeRevision] is the
--- a/core/src/main/kotlin/boragering/core/CatalogueReader.kt
+++ b/core/src/main/kotlin/boragering/core/catalogue/CatalogueReader.kt
@@ -1,6 +1,8 @@
-package boragering.core
+package boragering.core.catalogue
 
 import arrow.core.Either
+import boragering.core.Finding
+import boragering.core.OrganisationName
 import kotlinx.collections.immutable.toPersistentMap
 
 /** A validated operators' document; [baseRevision] is the revision that it states to be based on, if any. */
--- a/core/src/main/kotlin/boragering/core/CatalogueReplica.kt
+++ b/core/src/main/kotlin/boragering/core/catalogue/CatalogueReplica.kt
@@ -1,5 +1,12 @@
-package boragering.core
-
+package boragering.core.catalogue
+
+import boragering.core.Store
+import boragering.core.StoredValue
+import boragering.core.membership.Item
+import boragering.core.membership.Items
+import boragering.core.membership.Peers
+import boragering.core.timeline.Timeline
+import boragering.core.timeline.TimelineEntry
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ReceiveChannel
 import kotlin.random.Random
--- /dev/null
+++ b/core/src/main/kotlin/boragering/core/catalogue/CatalogueSource.kt
@@ -0,0 +1,7 @@
+package boragering.core.catalogue
+
+/** The catalogue in force on this daemon. Safe for use by several threads. */
+fun interface CatalogueSource {
+    /** The highest accepted revision that this daemon knows, `null` before the first one. */
+    fun current(): Catalogue?
+}
--- a/core/src/main/kotlin/boragering/core/CatalogueSubmission.kt
+++ b/core/src/main/kotlin/boragering/core/catalogue/CatalogueSubmission.kt
@@ -1,9 +1,10 @@
-package boragering.core
+package boragering.core.catalogue
 
 import arrow.core.Either
 import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
+import boragering.core.Finding
 import kotlinx.serialization.json.JsonObject
 
 /** A valid document that an operator submits, and the rules for accepting it. */
--- a/core/src/main/kotlin/boragering/core/CatalogueText.kt
+++ b/core/src/main/kotlin/boragering/core/catalogue/CatalogueText.kt
@@ -1,4 +1,4 @@
-package boragering.core
+package boragering.core.catalogue
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.json.Json
--- a/core/src/main/kotlin/boragering/core/CatalogueWriter.kt
+++ b/core/src/main/kotlin/boragering/core/catalogue/CatalogueWriter.kt
@@ -1,7 +1,14 @@
-package boragering.core
+package boragering.core.catalogue
 
 import arrow.core.Either
 import arrow.core.getOrElse
+import boragering.core.Clock
+import boragering.core.Store
+import boragering.core.StoreFailure
+import boragering.core.StoreRevision
+import boragering.core.SwapOutcome
+import boragering.core.membership.Item
+import boragering.core.membership.Items
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.commons.codec.digest.DigestUtils
--- a/core/src/main/kotlin/boragering/core/EntryReader.kt
+++ b/core/src/main/kotlin/boragering/core/catalogue/EntryReader.kt
@@ -1,6 +1,7 @@
-package boragering.core
+package boragering.core.catalogue
 
 import arrow.core.raise.nullable
+import boragering.core.EntryName
 import kotlinx.collections.immutable.toPersistentList
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
--- a/core/src/main/kotlin/boragering/core/JsonScan.kt
+++ b/core/src/main/kotlin/boragering/core/catalogue/JsonScan.kt
@@ -1,4 +1,4 @@
-package boragering.core
+package boragering.core.catalogue
 
 /**
  * Finds the line of each value in a JSON text that a parser has accepted, and the keys that stand twice in one object,
--- a/core/src/main/kotlin/boragering/core/ObjectReader.kt
+++ b/core/src/main/kotlin/boragering/core/catalogue/ObjectReader.kt
@@ -1,8 +1,9 @@
-package boragering.core
+package boragering.core.catalogue
 
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import boragering.core.Finding
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
--- a/core/src/main/kotlin/boragering/core/UnitReader.kt
+++ b/core/src/main/kotlin/boragering/core/catalogue/UnitReader.kt
@@ -1,4 +1,4 @@
-package boragering.core
+package boragering.core.catalogue
 
 import arrow.core.Either
 import arrow.core.left
--- a/core/src/main/kotlin/boragering/core/Values.kt
+++ b/core/src/main/kotlin/boragering/core/catalogue/Values.kt
@@ -1,4 +1,4 @@
-package boragering.core
+package boragering.core.catalogue
 
 import arrow.core.flatMap
 import arrow.core.left
--- a/core/src/main/kotlin/boragering/core/Claim.kt
+++ b/core/src/main/kotlin/boragering/core/claims/Claim.kt
@@ -1,5 +1,7 @@
-package boragering.core
+package boragering.core.claims
 
+import boragering.core.CallerRequest
+import boragering.core.DaemonId
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.apache.commons.codec.binary.Base64
--- a/core/src/main/kotlin/boragering/core/ClaimClock.kt
+++ b/core/src/main/kotlin/boragering/core/claims/ClaimClock.kt
@@ -1,5 +1,6 @@
-package boragering.core
+package boragering.core.claims
 
+import boragering.core.Clock
 import kotlin.time.Duration
 
 /**
--- a/core/src/main/kotlin/boragering/core/ClaimCodec.kt
+++ b/core/src/main/kotlin/boragering/core/claims/ClaimCodec.kt
@@ -1,5 +1,7 @@
-package boragering.core
+package boragering.core.claims
 
+import boragering.core.StoreRevision
+import boragering.core.StoredValue
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
--- a/core/src/main/kotlin/boragering/core/ClaimOperation.kt
+++ b/core/src/main/kotlin/boragering/core/claims/ClaimOperation.kt
@@ -1,4 +1,4 @@
-package boragering.core
+package boragering.core.claims
 
 import kotlinx.collections.immutable.PersistentMap
 
--- a/core/src/main/kotlin/boragering/core/ClaimShard.kt
+++ b/core/src/main/kotlin/boragering/core/claims/ClaimShard.kt
@@ -1,6 +1,10 @@
-package boragering.core
+package boragering.core.claims
 
 import arrow.core.Either
+import boragering.core.Backoff
+import boragering.core.RequestMetrics
+import boragering.core.Store
+import boragering.core.SwapOutcome
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
--- a/core/src/main/kotlin/boragering/core/ClaimWrite.kt
+++ b/core/src/main/kotlin/boragering/core/claims/ClaimWrite.kt
@@ -1,6 +1,8 @@
-package boragering.core
+package boragering.core.claims
 
 import arrow.core.Either
+import boragering.core.StoreFailure
+import boragering.core.StoredValue
 import kotlinx.coroutines.CompletableDeferred
 
 /** An operation that waits for its result; [final] and [abandoned] are guarded by the shard's lock. */
--- a/core/src/main/kotlin/boragering/core/Distribution.kt
+++ b/core/src/main/kotlin/boragering/core/groups/Distribution.kt
@@ -1,4 +1,10 @@
-package boragering.core
+package boragering.core.groups
+
+import boragering.core.AvailabilityZone
+import boragering.core.EntryName
+import boragering.core.FabricDomain
+import boragering.core.catalogue.Catalogue
+import boragering.core.catalogue.ModelEntry
 
 /**
  * How many replicas of each model entry each domain should have. It follows from catalogue, live list and divisions
--- a/core/src/main/kotlin/boragering/core/Division.kt
+++ b/core/src/main/kotlin/boragering/core/groups/Division.kt
@@ -1,5 +1,14 @@
-package boragering.core
+package boragering.core.groups
 
+import boragering.core.EntryName
+import boragering.core.FabricDomain
+import boragering.core.Fence
+import boragering.core.GroupId
+import boragering.core.Incarnation
+import boragering.core.InstanceId
+import boragering.core.timeline.HybridTime
+import boragering.core.timeline.TimelineEntry
+import boragering.core.timeline.TimelineEvent
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -80,3 +89,7 @@
 /** Something that happened to a division, kept with it for operators. */
 @Serializable
 data class DivisionEvent(val stamp: HybridTime, val group: GroupId?, val entry: EntryName?, val text: String)
+
+/** The event as part of the time line. */
+fun DivisionEvent.toTimelineEvent(): TimelineEvent =
+    TimelineEvent(stamp, TimelineEntry(kind = "division", text = text, group = group, entry = entry))
--- a/core/src/main/kotlin/boragering/core/DivisionDocument.kt
+++ b/core/src/main/kotlin/boragering/core/groups/DivisionDocument.kt
@@ -1,5 +1,6 @@
-package boragering.core
+package boragering.core.groups
 
+import boragering.core.membership.Item
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
 
--- a/core/src/main/kotlin/boragering/core/DivisionReplica.kt
+++ b/core/src/main/kotlin/boragering/core/groups/DivisionReplica.kt
@@ -1,5 +1,10 @@
-package boragering.core
+package boragering.core.groups
 
+import boragering.core.FabricDomain
+import boragering.core.membership.Item
+import boragering.core.membership.Items
+import boragering.core.timeline.Timeline
+import boragering.core.timeline.TimelineEntry
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import java.util.concurrent.atomic.AtomicReference
--- a/core/src/main/kotlin/boragering/core/DivisionWriter.kt
+++ b/core/src/main/kotlin/boragering/core/groups/DivisionWriter.kt
@@ -1,9 +1,16 @@
-package boragering.core
+package boragering.core.groups
 
 import arrow.core.Either
 import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
+import boragering.core.Clock
+import boragering.core.FabricDomain
+import boragering.core.Store
+import boragering.core.StoreFailure
+import boragering.core.StoreRevision
+import boragering.core.StoredValue
+import boragering.core.SwapOutcome
 import kotlin.time.Duration
 
 /**
--- a/core/src/main/kotlin/boragering/core/DomainController.kt
+++ b/core/src/main/kotlin/boragering/core/groups/DomainController.kt
@@ -1,5 +1,19 @@
-package boragering.core
-
+package boragering.core.groups
+
+import boragering.core.Clock
+import boragering.core.FabricDomain
+import boragering.core.Store
+import boragering.core.Targets
+import boragering.core.catalogue.Catalogue
+import boragering.core.catalogue.CatalogueSource
+import boragering.core.membership.Items
+import boragering.core.membership.PeerLink
+import boragering.core.membership.Peers
+import boragering.core.membership.Registration
+import boragering.core.membership.plans
+import boragering.core.timeline.HybridTime
+import boragering.core.timeline.Timeline
+import boragering.core.timeline.TimelineEntry
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
--- a/core/src/main/kotlin/boragering/core/DomainPlanner.kt
+++ b/core/src/main/kotlin/boragering/core/groups/DomainPlanner.kt
@@ -1,7 +1,15 @@
-package boragering.core
+package boragering.core.groups
 
 import arrow.core.Either
 import arrow.core.right
+import boragering.core.Clock
+import boragering.core.EntryName
+import boragering.core.FabricDomain
+import boragering.core.GroupId
+import boragering.core.InstanceId
+import boragering.core.StoreFailure
+import boragering.core.catalogue.Catalogue
+import boragering.core.timeline.TimelineEntry
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
--- a/core/src/main/kotlin/boragering/core/EchoBook.kt
+++ b/core/src/main/kotlin/boragering/core/groups/EchoBook.kt
@@ -1,5 +1,8 @@
-package boragering.core
+package boragering.core.groups
 
+import boragering.core.Clock
+import boragering.core.DaemonId
+import boragering.core.membership.PeerMessage
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 
--- a/core/src/main/kotlin/boragering/core/FindingBook.kt
+++ b/core/src/main/kotlin/boragering/core/groups/FindingBook.kt
@@ -1,5 +1,7 @@
-package boragering.core
+package boragering.core.groups
 
+import boragering.core.EntryName
+import boragering.core.FabricDomain
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
--- a/core/src/main/kotlin/boragering/core/Fleet.kt
+++ b/core/src/main/kotlin/boragering/core/groups/Fleet.kt
@@ -1,4 +1,15 @@
-package boragering.core
+package boragering.core.groups
+
+import boragering.core.AvailabilityZone
+import boragering.core.EntryName
+import boragering.core.FabricDomain
+import boragering.core.Incarnation
+import boragering.core.InstanceId
+import boragering.core.catalogue.Catalogue
+import boragering.core.catalogue.Entry
+import boragering.core.catalogue.ModelEntry
+import boragering.core.catalogue.ServiceEntry
+import boragering.core.membership.Membership
 
 /** Active replicas of one entry in one domain; [outdated] ones do not match the entry as it is now. */
 data class ReplicaCount(val current: Int, val outdated: Int) {
--- a/core/src/main/kotlin/boragering/core/GroupEvidence.kt
+++ b/core/src/main/kotlin/boragering/core/groups/GroupEvidence.kt
@@ -1,5 +1,12 @@
-package boragering.core
+package boragering.core.groups
 
+import boragering.core.FabricDomain
+import boragering.core.Fence
+import boragering.core.GroupId
+import boragering.core.GroupSummary
+import boragering.core.InstanceId
+import boragering.core.InstancePhase
+import boragering.core.InstanceReport
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
--- a/core/src/main/kotlin/boragering/core/GroupFormation.kt
+++ b/core/src/main/kotlin/boragering/core/groups/GroupFormation.kt
@@ -1,4 +1,8 @@
-package boragering.core
+package boragering.core.groups
+
+import boragering.core.Fence
+import boragering.core.catalogue.ModelEntry
+import boragering.core.catalogue.ServiceEntry
 
 /** Forms groups of spare instances while this domain has fewer replicas than its share. */
 internal fun PlanningDraft.formModelGroups() {
--- a/core/src/main/kotlin/boragering/core/GroupHealth.kt
+++ b/core/src/main/kotlin/boragering/core/groups/GroupHealth.kt
@@ -1,5 +1,14 @@
-package boragering.core
+package boragering.core.groups
 
+import boragering.core.Candidate
+import boragering.core.Clock
+import boragering.core.DaemonId
+import boragering.core.EntryName
+import boragering.core.Fence
+import boragering.core.GroupId
+import boragering.core.TargetDirectory
+import boragering.core.membership.PeerMessage
+import boragering.core.membership.Peers
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
 import kotlin.time.Duration
--- a/core/src/main/kotlin/boragering/core/GroupOrders.kt
+++ b/core/src/main/kotlin/boragering/core/groups/GroupOrders.kt
@@ -1,4 +1,9 @@
-package boragering.core
+package boragering.core.groups
+
+import boragering.core.Fence
+import boragering.core.InstancePhase
+import boragering.core.Order
+import boragering.core.OrderMember
 
 /**
  * The orders that make the domain's engines follow [division]: members whose recent report does not match their group
--- a/core/src/main/kotlin/boragering/core/GroupRepair.kt
+++ b/core/src/main/kotlin/boragering/core/groups/GroupRepair.kt
@@ -1,4 +1,8 @@
-package boragering.core
+package boragering.core.groups
+
+import boragering.core.Fence
+import boragering.core.catalogue.Entry
+import boragering.core.catalogue.ModelEntry
 
 /**
  * Replaces lost members by spare instances, or dissolves groups when there are not enough, so that the remaining
--- a/core/src/main/kotlin/boragering/core/GroupRetirement.kt
+++ b/core/src/main/kotlin/boragering/core/groups/GroupRetirement.kt
@@ -1,4 +1,8 @@
-package boragering.core
+package boragering.core.groups
+
+import boragering.core.EntryName
+import boragering.core.catalogue.Entry
+import boragering.core.catalogue.ModelEntry
 
 /** Removes draining groups whose leader has finished its requests, and those whose leader is lost. */
 internal fun PlanningDraft.removeDrainedGroups() {
--- a/core/src/main/kotlin/boragering/core/GroupTransitions.kt
+++ b/core/src/main/kotlin/boragering/core/groups/GroupTransitions.kt
@@ -1,4 +1,8 @@
-package boragering.core
+package boragering.core.groups
+
+import boragering.core.GroupId
+import boragering.core.timeline.Timeline
+import boragering.core.timeline.TimelineEntry
 
 /**
  * Records on the time line when a group becomes whole and when it stops being whole, as the planner of its domain sees
--- a/core/src/main/kotlin/boragering/core/HealthShard.kt
+++ b/core/src/main/kotlin/boragering/core/groups/HealthShard.kt
@@ -1,5 +1,7 @@
-package boragering.core
+package boragering.core.groups
 
+import boragering.core.Fence
+import boragering.core.GroupId
 import kotlin.time.Duration
 
 /** A group under one fencing number. */
--- a/core/src/main/kotlin/boragering/core/HeldGroups.kt
+++ b/core/src/main/kotlin/boragering/core/groups/HeldGroups.kt
@@ -1,5 +1,13 @@
-package boragering.core
+package boragering.core.groups
 
+import boragering.core.DaemonId
+import boragering.core.EntryName
+import boragering.core.FabricDomain
+import boragering.core.GroupId
+import boragering.core.membership.Peers
+import boragering.core.membership.Registration
+import boragering.core.membership.holders
+import boragering.core.membership.planner
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlin.time.Duration
--- a/core/src/main/kotlin/boragering/core/HolderPolling.kt
+++ b/core/src/main/kotlin/boragering/core/groups/HolderPolling.kt
@@ -1,5 +1,6 @@
-package boragering.core
+package boragering.core.groups
 
+import boragering.core.FabricDomain
 import kotlinx.coroutines.CoroutineScope
 
 /** Polls the members of held groups while their planner's summaries are missing. */
--- a/core/src/main/kotlin/boragering/core/InstancePoller.kt
+++ b/core/src/main/kotlin/boragering/core/groups/InstancePoller.kt
@@ -1,5 +1,8 @@
-package boragering.core
+package boragering.core.groups
 
+import boragering.core.Clock
+import boragering.core.InstanceId
+import boragering.core.Targets
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.joinAll
--- a/core/src/main/kotlin/boragering/core/LiveList.kt
+++ b/core/src/main/kotlin/boragering/core/groups/LiveList.kt
@@ -1,6 +1,9 @@
-package boragering.core
+package boragering.core.groups
 
 import arrow.core.Either
+import boragering.core.AvailabilityZone
+import boragering.core.FabricDomain
+import boragering.core.InstanceId
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
--- a/core/src/main/kotlin/boragering/core/MemberCondition.kt
+++ b/core/src/main/kotlin/boragering/core/groups/MemberCondition.kt
@@ -1,4 +1,4 @@
-package boragering.core
+package boragering.core.groups
 
 /** What the planner concludes about one member of a group. */
 internal sealed interface MemberCondition {
--- a/core/src/main/kotlin/boragering/core/OrderSender.kt
+++ b/core/src/main/kotlin/boragering/core/groups/OrderSender.kt
@@ -1,5 +1,12 @@
-package boragering.core
+package boragering.core.groups
 
+import boragering.core.Clock
+import boragering.core.InstanceId
+import boragering.core.Order
+import boragering.core.TargetFailure
+import boragering.core.Targets
+import boragering.core.timeline.Timeline
+import boragering.core.timeline.TimelineEntry
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Semaphore
--- a/core/src/main/kotlin/boragering/core/Planner.kt
+++ b/core/src/main/kotlin/boragering/core/groups/Planner.kt
@@ -1,4 +1,4 @@
-package boragering.core
+package boragering.core.groups
 
 /**
  * Plans one fabric domain: which groups to drain, remove, repair, dissolve and form, which orders to send, and what
--- a/core/src/main/kotlin/boragering/core/PlanningDraft.kt
+++ b/core/src/main/kotlin/boragering/core/groups/PlanningDraft.kt
@@ -1,4 +1,8 @@
-package boragering.core
+package boragering.core.groups
+
+import boragering.core.EntryName
+import boragering.core.GroupId
+import boragering.core.InstanceId
 
 /** The state of one planning step while the rules are applied in order; used by one thread. */
 internal class PlanningDraft(val input: PlanningInput) {
--- a/core/src/main/kotlin/boragering/core/PlanningFindings.kt
+++ b/core/src/main/kotlin/boragering/core/groups/PlanningFindings.kt
@@ -1,4 +1,8 @@
-package boragering.core
+package boragering.core.groups
+
+import boragering.core.FabricDomain
+import boragering.core.InstanceId
+import boragering.core.catalogue.ModelEntry
 
 /**
  * States what the domain cannot repair. Wanted replicas that no domain can hold are stated by every planner, without a
--- a/core/src/main/kotlin/boragering/core/PlanningInput.kt
+++ b/core/src/main/kotlin/boragering/core/groups/PlanningInput.kt
@@ -1,5 +1,12 @@
-package boragering.core
+package boragering.core.groups
 
+import boragering.core.EntryName
+import boragering.core.GroupId
+import boragering.core.InstanceId
+import boragering.core.InstanceReport
+import boragering.core.Order
+import boragering.core.catalogue.Catalogue
+import boragering.core.timeline.HybridTime
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
--- a/core/src/main/kotlin/boragering/core/ReportBook.kt
+++ b/core/src/main/kotlin/boragering/core/groups/ReportBook.kt
@@ -1,5 +1,8 @@
-package boragering.core
+package boragering.core.groups
 
+import boragering.core.Clock
+import boragering.core.FabricDomain
+import boragering.core.InstanceId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
--- a/core/src/main/kotlin/boragering/core/SpareInstances.kt
+++ b/core/src/main/kotlin/boragering/core/groups/SpareInstances.kt
@@ -1,4 +1,10 @@
-package boragering.core
+package boragering.core.groups
+
+import boragering.core.InstanceId
+import boragering.core.InstancePhase
+import boragering.core.InstanceReport
+import boragering.core.catalogue.Entry
+import boragering.core.catalogue.ModelEntry
 
 /** An instance that can be assigned, with its newest report. */
 internal class SpareInstance(val listed: ListedInstance, val report: InstanceReport) {
--- a/core/src/main/kotlin/boragering/core/SummarySender.kt
+++ b/core/src/main/kotlin/boragering/core/groups/SummarySender.kt
@@ -1,4 +1,10 @@
-package boragering.core
+package boragering.core.groups
+
+import boragering.core.DaemonId
+import boragering.core.FabricDomain
+import boragering.core.GroupSummary
+import boragering.core.membership.PeerMessage
+import boragering.core.membership.holders
 
 /** Tells the holders of groups what this daemon's polls have shown, and sends the echoes that date such summaries. */
 internal class SummarySender(
--- a/core/src/main/kotlin/boragering/core/DaemonRecord.kt
+++ b/core/src/main/kotlin/boragering/core/membership/DaemonRecord.kt
@@ -1,5 +1,6 @@
-package boragering.core
+package boragering.core.membership
 
+import boragering.core.DaemonId
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
--- a/core/src/main/kotlin/boragering/core/DaemonTable.kt
+++ b/core/src/main/kotlin/boragering/core/membership/DaemonTable.kt
@@ -1,5 +1,7 @@
-package boragering.core
+package boragering.core.membership
 
+import boragering.core.DaemonId
+import boragering.core.timeline.TimelineEntry
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
--- a/core/src/main/kotlin/boragering/core/Dissemination.kt
+++ b/core/src/main/kotlin/boragering/core/membership/Dissemination.kt
@@ -1,5 +1,7 @@
-package boragering.core
+package boragering.core.membership
 
+import boragering.core.Clock
+import boragering.core.DaemonId
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
--- a/core/src/main/kotlin/boragering/core/Isolation.kt
+++ b/core/src/main/kotlin/boragering/core/membership/Isolation.kt
@@ -1,5 +1,7 @@
-package boragering.core
+package boragering.core.membership
 
+import boragering.core.Clock
+import boragering.core.DaemonId
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 import kotlin.time.Duration
--- a/core/src/main/kotlin/boragering/core/Item.kt
+++ b/core/src/main/kotlin/boragering/core/membership/Item.kt
@@ -1,4 +1,4 @@
-package boragering.core
+package boragering.core.membership
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.serialization.Serializable
--- a/core/src/main/kotlin/boragering/core/ItemDigest.kt
+++ b/core/src/main/kotlin/boragering/core/membership/ItemDigest.kt
@@ -1,4 +1,4 @@
-package boragering.core
+package boragering.core.membership
 
 import org.apache.commons.codec.digest.MurmurHash3
 import java.nio.ByteBuffer
--- a/core/src/main/kotlin/boragering/core/ItemExchange.kt
+++ b/core/src/main/kotlin/boragering/core/membership/ItemExchange.kt
@@ -1,4 +1,6 @@
-package boragering.core
+package boragering.core.membership
+
+import boragering.core.DaemonId
 
 /** The answers to the messages with which daemons pass items on; see [Dissemination]. */
 internal class ItemExchange(
--- a/core/src/main/kotlin/boragering/core/ItemReplica.kt
+++ b/core/src/main/kotlin/boragering/core/membership/ItemReplica.kt
@@ -1,5 +1,6 @@
-package boragering.core
+package boragering.core.membership
 
+import boragering.core.Clock
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
 import kotlin.time.Duration.Companion.minutes
--- a/core/src/main/kotlin/boragering/core/LockedRandom.kt
+++ b/core/src/main/kotlin/boragering/core/membership/LockedRandom.kt
@@ -1,4 +1,4 @@
-package boragering.core
+package boragering.core.membership
 
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
--- a/core/src/main/kotlin/boragering/core/Membership.kt
+++ b/core/src/main/kotlin/boragering/core/membership/Membership.kt
@@ -1,5 +1,10 @@
-package boragering.core
+package boragering.core.membership
 
+import boragering.core.Clock
+import boragering.core.DaemonId
+import boragering.core.Store
+import boragering.core.timeline.Timeline
+import boragering.core.timeline.TimelineEntry
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
--- a/core/src/main/kotlin/boragering/core/PeerContacts.kt
+++ b/core/src/main/kotlin/boragering/core/membership/PeerContacts.kt
@@ -1,4 +1,4 @@
-package boragering.core
+package boragering.core.membership
 
 import kotlinx.coroutines.delay
 import kotlin.random.Random
--- a/core/src/main/kotlin/boragering/core/PeerMessage.kt
+++ b/core/src/main/kotlin/boragering/core/membership/PeerMessage.kt
@@ -1,5 +1,10 @@
-package boragering.core
+package boragering.core.membership
 
+import boragering.core.DaemonId
+import boragering.core.GroupId
+import boragering.core.GroupSummary
+import boragering.core.InstanceId
+import boragering.core.timeline.HybridTime
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
--- a/core/src/main/kotlin/boragering/core/PeerProtocol.kt
+++ b/core/src/main/kotlin/boragering/core/membership/PeerProtocol.kt
@@ -1,8 +1,9 @@
-package boragering.core
+package boragering.core.membership
 
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import boragering.core.DaemonId
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.apache.commons.codec.digest.HmacAlgorithms
--- a/core/src/main/kotlin/boragering/core/PeerTraffic.kt
+++ b/core/src/main/kotlin/boragering/core/membership/PeerTraffic.kt
@@ -1,4 +1,4 @@
-package boragering.core
+package boragering.core.membership
 
 /** Kinds of peer messages, as counted in metrics. */
 enum class PeerMessageKind {
--- a/core/src/main/kotlin/boragering/core/Registration.kt
+++ b/core/src/main/kotlin/boragering/core/membership/Registration.kt
@@ -1,5 +1,10 @@
-package boragering.core
+package boragering.core.membership
 
+import boragering.core.AvailabilityZone
+import boragering.core.DaemonId
+import boragering.core.FabricDomain
+import boragering.core.GroupId
+import boragering.core.Rendezvous
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.serialization.Serializable
 
--- a/core/src/main/kotlin/boragering/core/RegistrationLease.kt
+++ b/core/src/main/kotlin/boragering/core/membership/RegistrationLease.kt
@@ -1,7 +1,11 @@
-package boragering.core
+package boragering.core.membership
 
 import arrow.core.Either
 import arrow.core.getOrElse
+import boragering.core.LeaseId
+import boragering.core.Store
+import boragering.core.StoreRevision
+import boragering.core.SwapOutcome
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import kotlinx.serialization.json.Json
--- a/core/src/main/kotlin/boragering/core/RegistrationReader.kt
+++ b/core/src/main/kotlin/boragering/core/membership/RegistrationReader.kt
@@ -1,5 +1,8 @@
-package boragering.core
+package boragering.core.membership
 
+import boragering.core.Clock
+import boragering.core.Store
+import boragering.core.StoredValue
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlin.random.Random
--- a/core/src/main/kotlin/boragering/core/SeedLink.kt
+++ b/core/src/main/kotlin/boragering/core/membership/SeedLink.kt
@@ -1,4 +1,6 @@
-package boragering.core
+package boragering.core.membership
+
+import boragering.core.DaemonId
 
 /** Sends messages to daemons of which only the address (`host:port`) is known. Sending never suspends. */
 fun interface SeedLink {
--- a/core/src/main/kotlin/boragering/core/Wake.kt
+++ b/core/src/main/kotlin/boragering/core/membership/Wake.kt
@@ -1,4 +1,4 @@
-package boragering.core
+package boragering.core.membership
 
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.withTimeoutOrNull
--- a/core/src/main/kotlin/boragering/core/Admission.kt
+++ b/core/src/main/kotlin/boragering/core/requests/Admission.kt
@@ -1,5 +1,7 @@
-package boragering.core
+package boragering.core.requests
 
+import boragering.core.EntryName
+import boragering.core.SharedRandom
 import kotlinx.coroutines.delay
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.milliseconds
--- a/core/src/main/kotlin/boragering/core/AdmissionPolicy.kt
+++ b/core/src/main/kotlin/boragering/core/requests/AdmissionPolicy.kt
@@ -1,6 +1,9 @@
-package boragering.core
+package boragering.core.requests
 
 import arrow.core.left
+import boragering.core.Outcome
+import boragering.core.Problem
+import boragering.core.groups.HealthSettings
 import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
--- a/core/src/main/kotlin/boragering/core/AnswerContent.kt
+++ b/core/src/main/kotlin/boragering/core/requests/AnswerContent.kt
@@ -1,5 +1,9 @@
-package boragering.core
+package boragering.core.requests
 
+import boragering.core.AnswerPart
+import boragering.core.Bytes
+import boragering.core.Header
+import boragering.core.claims.ClaimState
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
--- a/core/src/main/kotlin/boragering/core/AnswerRelay.kt
+++ b/core/src/main/kotlin/boragering/core/requests/AnswerRelay.kt
@@ -1,5 +1,10 @@
-package boragering.core
+package boragering.core.requests
 
+import boragering.core.AnswerPart
+import boragering.core.Clock
+import boragering.core.Outcome
+import boragering.core.catalogue.ModelEntry
+import boragering.core.claims.ClaimState
 import kotlinx.coroutines.CancellationException
 import java.io.IOException
 import kotlin.time.Duration
--- a/core/src/main/kotlin/boragering/core/ClaimLedger.kt
+++ b/core/src/main/kotlin/boragering/core/requests/ClaimLedger.kt
@@ -1,5 +1,18 @@
-package boragering.core
-
+package boragering.core.requests
+
+import boragering.core.CallerRequest
+import boragering.core.Outcome
+import boragering.core.Problem
+import boragering.core.SharedRandom
+import boragering.core.catalogue.Entry
+import boragering.core.claims.Claim
+import boragering.core.claims.ClaimClock
+import boragering.core.claims.ClaimContext
+import boragering.core.claims.ClaimDigests
+import boragering.core.claims.ClaimOperation
+import boragering.core.claims.ClaimResult
+import boragering.core.claims.ClaimShard
+import boragering.core.claims.ClaimState
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
--- a/core/src/main/kotlin/boragering/core/EntryAdmission.kt
+++ b/core/src/main/kotlin/boragering/core/requests/EntryAdmission.kt
@@ -1,7 +1,12 @@
-package boragering.core
+package boragering.core.requests
 
 import arrow.core.Either
 import arrow.core.left
+import boragering.core.Candidate
+import boragering.core.EntryName
+import boragering.core.GroupId
+import boragering.core.Problem
+import boragering.core.SharedRandom
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
 
--- a/core/src/main/kotlin/boragering/core/EntryState.kt
+++ b/core/src/main/kotlin/boragering/core/requests/EntryState.kt
@@ -1,8 +1,13 @@
-package boragering.core
+package boragering.core.requests
 
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import boragering.core.Candidate
+import boragering.core.GroupId
+import boragering.core.OrganisationName
+import boragering.core.Problem
+import boragering.core.catalogue.RequestLimits
 import kotlin.time.Duration
 
 /** Queue, slots and rate limits of one entry. Not safe for several threads. */
--- a/core/src/main/kotlin/boragering/core/EntryTargets.kt
+++ b/core/src/main/kotlin/boragering/core/requests/EntryTargets.kt
@@ -1,5 +1,7 @@
-package boragering.core
+package boragering.core.requests
 
+import boragering.core.Candidate
+import boragering.core.GroupId
 import kotlin.math.ceil
 import kotlin.math.roundToInt
 import kotlin.time.Duration
--- a/core/src/main/kotlin/boragering/core/Problems.kt
+++ b/core/src/main/kotlin/boragering/core/requests/Problems.kt
@@ -1,5 +1,10 @@
-package boragering.core
+package boragering.core.requests
 
+import boragering.core.CallerRequest
+import boragering.core.EntryName
+import boragering.core.Outcome
+import boragering.core.Problem
+import boragering.core.ProblemKind
 import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
--- a/core/src/main/kotlin/boragering/core/ReplicaSelection.kt
+++ b/core/src/main/kotlin/boragering/core/requests/ReplicaSelection.kt
@@ -1,5 +1,6 @@
-package boragering.core
+package boragering.core.requests
 
+import boragering.core.Candidate
 import kotlin.random.Random
 
 /** How a target is chosen among those with free capacity. */
--- a/core/src/main/kotlin/boragering/core/RequestClaim.kt
+++ b/core/src/main/kotlin/boragering/core/requests/RequestClaim.kt
@@ -1,5 +1,9 @@
-package boragering.core
+package boragering.core.requests
 
+import boragering.core.Outcome
+import boragering.core.Problem
+import boragering.core.claims.Claim
+import boragering.core.claims.ClaimState
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
--- a/core/src/main/kotlin/boragering/core/RequestExecutor.kt
+++ b/core/src/main/kotlin/boragering/core/requests/RequestExecutor.kt
@@ -1,5 +1,13 @@
-package boragering.core
+package boragering.core.requests
 
+import boragering.core.AnswerPart
+import boragering.core.CallerRequest
+import boragering.core.EntryName
+import boragering.core.Problem
+import boragering.core.RequestResult
+import boragering.core.RequestService
+import boragering.core.SharedRandom
+import boragering.core.timeline.TimelineEntry
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 
--- a/core/src/main/kotlin/boragering/core/RequestLengths.kt
+++ b/core/src/main/kotlin/boragering/core/requests/RequestLengths.kt
@@ -1,5 +1,8 @@
-package boragering.core
+package boragering.core.requests
 
+import boragering.core.OrganisationName
+import boragering.core.catalogue.Entry
+import boragering.core.catalogue.RequestLength
 import kotlin.math.ln
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
--- a/core/src/main/kotlin/boragering/core/RequestLog.kt
+++ b/core/src/main/kotlin/boragering/core/requests/RequestLog.kt
@@ -1,5 +1,9 @@
-package boragering.core
+package boragering.core.requests
 
+import boragering.core.Candidate
+import boragering.core.GroupId
+import boragering.core.Problem
+import boragering.core.timeline.TimelineEntry
 import kotlin.time.Duration
 
 /** Reports what happens to one request to the time line and to the counters. */
--- a/core/src/main/kotlin/boragering/core/RequestPlan.kt
+++ b/core/src/main/kotlin/boragering/core/requests/RequestPlan.kt
@@ -1,8 +1,18 @@
-package boragering.core
+package boragering.core.requests
 
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import boragering.core.CallerRequest
+import boragering.core.Candidate
+import boragering.core.Header
+import boragering.core.Problem
+import boragering.core.catalogue.Catalogue
+import boragering.core.catalogue.Entry
+import boragering.core.catalogue.ModelEntry
+import boragering.core.catalogue.Route
+import boragering.core.catalogue.ServiceEntry
+import boragering.core.catalogue.Urgency
 import kotlin.time.Duration
 
 /** A caller's request with what the catalogue says about it. Times are monotonic. */
--- a/core/src/main/kotlin/boragering/core/RequestPorts.kt
+++ b/core/src/main/kotlin/boragering/core/requests/RequestPorts.kt
@@ -1,5 +1,13 @@
-package boragering.core
+package boragering.core.requests
 
+import boragering.core.Clock
+import boragering.core.RequestMetrics
+import boragering.core.Store
+import boragering.core.TargetCalls
+import boragering.core.TargetDirectory
+import boragering.core.catalogue.CatalogueSource
+import boragering.core.membership.Peers
+import boragering.core.timeline.Timeline
 import kotlin.random.Random
 
 /** What serving requests needs from the rest of the daemon. [random] is used under a lock. */
--- a/core/src/main/kotlin/boragering/core/RequestRun.kt
+++ b/core/src/main/kotlin/boragering/core/requests/RequestRun.kt
@@ -1,6 +1,12 @@
-package boragering.core
+package boragering.core.requests
 
 import arrow.core.Either
+import boragering.core.AnswerPart
+import boragering.core.Backoff
+import boragering.core.GroupId
+import boragering.core.Outcome
+import boragering.core.Problem
+import boragering.core.RequestResult
 import kotlinx.coroutines.delay
 import kotlin.random.Random
 import kotlin.time.Duration
--- a/core/src/main/kotlin/boragering/core/TargetAttempt.kt
+++ b/core/src/main/kotlin/boragering/core/requests/TargetAttempt.kt
@@ -1,6 +1,14 @@
-package boragering.core
+package boragering.core.requests
 
 import arrow.core.Either
+import boragering.core.AnswerPart
+import boragering.core.Candidate
+import boragering.core.Outcome
+import boragering.core.Problem
+import boragering.core.TargetCall
+import boragering.core.TargetFailure
+import boragering.core.catalogue.ModelEntry
+import boragering.core.claims.ClaimState
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
--- a/core/src/main/kotlin/boragering/core/TokenBucket.kt
+++ b/core/src/main/kotlin/boragering/core/requests/TokenBucket.kt
@@ -1,4 +1,4 @@
-package boragering.core
+package boragering.core.requests
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
--- a/core/src/main/kotlin/boragering/core/WaitEstimate.kt
+++ b/core/src/main/kotlin/boragering/core/requests/WaitEstimate.kt
@@ -1,5 +1,6 @@
-package boragering.core
+package boragering.core.requests
 
+import boragering.core.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
--- a/core/src/main/kotlin/boragering/core/WaitQueue.kt
+++ b/core/src/main/kotlin/boragering/core/requests/WaitQueue.kt
@@ -1,6 +1,10 @@
-package boragering.core
+package boragering.core.requests
 
 import arrow.core.Either
+import boragering.core.GroupId
+import boragering.core.OrganisationName
+import boragering.core.Problem
+import boragering.core.catalogue.Urgency
 import kotlinx.coroutines.CompletableDeferred
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
--- a/core/src/main/kotlin/boragering/core/HybridClock.kt
+++ b/core/src/main/kotlin/boragering/core/timeline/HybridClock.kt
@@ -1,5 +1,7 @@
-package boragering.core
+package boragering.core.timeline
 
+import boragering.core.Clock
+import boragering.core.DaemonId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
 
--- a/core/src/main/kotlin/boragering/core/HybridTime.kt
+++ b/core/src/main/kotlin/boragering/core/timeline/HybridTime.kt
@@ -1,5 +1,6 @@
-package boragering.core
+package boragering.core.timeline
 
+import boragering.core.DaemonId
 import kotlinx.serialization.Serializable
 
 /**
--- a/core/src/main/kotlin/boragering/core/Timeline.kt
+++ b/core/src/main/kotlin/boragering/core/timeline/Timeline.kt
@@ -1,5 +1,9 @@
-package boragering.core
+package boragering.core.timeline
 
+import boragering.core.EntryName
+import boragering.core.GroupId
+import boragering.core.InstanceId
+import boragering.core.RequestId
 import kotlinx.serialization.Serializable
 
 /** Records events for the time line. Implementations are bounded and safe for use by several threads. */
--- a/core/src/main/kotlin/boragering/core/TimelineBuffer.kt
+++ b/core/src/main/kotlin/boragering/core/timeline/TimelineBuffer.kt
@@ -1,4 +1,8 @@
-package boragering.core
+package boragering.core.timeline
+
+import boragering.core.GroupId
+import boragering.core.InstanceId
+import boragering.core.RequestId
 
 /**
  * Which events to return; an absent part matches everything. [sinceMilliseconds] is wall-clock time; [limit] is the
@@ -39,10 +43,6 @@
     }
 }
 
-/** The event as part of the time line. */
-fun DivisionEvent.toTimelineEvent(): TimelineEvent =
-    TimelineEvent(stamp, TimelineEntry(kind = "division", text = text, group = group, entry = entry))
-
 /** One order of the events of many daemons; an event that several of them hold appears once. */
 fun mergeTimelines(timelines: Iterable<List<TimelineEvent>>): List<TimelineEvent> =
     timelines.flatten().distinct().sortedBy { it.stamp }
--- a/core/src/main/kotlin/boragering/core/TimelinePage.kt
+++ b/core/src/main/kotlin/boragering/core/timeline/TimelinePage.kt
@@ -1,4 +1,4 @@
-package boragering.core
+package boragering.core.timeline
 
 import java.util.Locale
 
--- /dev/null
+++ b/core/src/test/kotlin/boragering/core/PackageDirectionTest.kt
@@ -0,0 +1,40 @@
+package boragering.core
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import java.io.File
+
+/** Packages that each package of the module may use, besides the shared types of `boragering.core` itself. */
+private val ALLOWED = mapOf(
+    "" to emptySet(),
+    "timeline" to emptySet(),
+    "membership" to setOf("timeline"),
+    "catalogue" to setOf("timeline", "membership"),
+    "claims" to emptySet(),
+    "groups" to setOf("timeline", "membership", "catalogue"),
+    "requests" to setOf("timeline", "membership", "catalogue", "claims", "groups"),
+    "operators" to setOf("timeline", "membership", "catalogue", "groups"),
+)
+
+class PackageDirectionTest : DescribeSpec({
+    val root = File("src/main/kotlin/boragering/core")
+    val import = Regex("""^import boragering\.core\.([a-z]+)\.""", RegexOption.MULTILINE)
+
+    describe("the packages of the module") {
+        it("are those whose direction of use is stated (guards against a package that nobody has placed)") {
+            root.listFiles().orEmpty().filter { it.isDirectory }.map { it.name }.toSet() shouldBe ALLOWED.keys - ""
+        }
+
+        ALLOWED.forEach { (name, allowed) ->
+            it("use each other in one direction: ${name.ifEmpty { "core" }} (guards against cycles)") {
+                val files = File(root, name).listFiles().orEmpty().filter { it.extension == "kt" }
+                val foreign = files.flatMap { file ->
+                    import.findAll(file.readText()).map { it.groupValues[1] }
+                        .filter { it != name && it !in allowed }.map { "${file.name} uses $it" }
+                }
+                foreign.shouldBeEmpty()
+            }
+        }
+    }
+})
--- a/core/src/test/kotlin/boragering/core/CatalogueFakes.kt
+++ b/core/src/test/kotlin/boragering/core/catalogue/CatalogueFakes.kt
@@ -1,8 +1,21 @@
-package boragering.core
+package boragering.core.catalogue
 
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import boragering.core.AvailabilityZone
+import boragering.core.Clock
+import boragering.core.DaemonId
+import boragering.core.LeaseId
+import boragering.core.Store
+import boragering.core.StoreFailure
+import boragering.core.StoreRevision
+import boragering.core.StoredValue
+import boragering.core.SwapOutcome
+import boragering.core.membership.Item
+import boragering.core.membership.Items
+import boragering.core.membership.Peers
+import boragering.core.membership.Registration
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.coroutines.delay
--- a/core/src/test/kotlin/boragering/core/CatalogueFixtures.kt
+++ b/core/src/test/kotlin/boragering/core/catalogue/CatalogueFixtures.kt
@@ -1,5 +1,6 @@
-package boragering.core
+package boragering.core.catalogue
 
+import boragering.core.EntryName
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlin.time.Duration.Companion.hours
--- a/core/src/test/kotlin/boragering/core/CatalogueReaderTest.kt
+++ b/core/src/test/kotlin/boragering/core/catalogue/CatalogueReaderTest.kt
@@ -1,6 +1,7 @@
-package boragering.core
+package boragering.core.catalogue
 
 import arrow.core.Either
+import boragering.core.EntryName
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
--- a/core/src/test/kotlin/boragering/core/CatalogueReplicaTest.kt
+++ b/core/src/test/kotlin/boragering/core/catalogue/CatalogueReplicaTest.kt
@@ -1,5 +1,10 @@
-package boragering.core
+package boragering.core.catalogue
 
+import boragering.core.Store
+import boragering.core.membership.Item
+import boragering.core.membership.Items
+import boragering.core.membership.Peers
+import boragering.core.timeline.TimelineEntry
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeSortedWith
 import io.kotest.matchers.collections.shouldContain
--- a/core/src/test/kotlin/boragering/core/CatalogueWriterTest.kt
+++ b/core/src/test/kotlin/boragering/core/catalogue/CatalogueWriterTest.kt
@@ -1,5 +1,8 @@
-package boragering.core
+package boragering.core.catalogue
 
+import boragering.core.EntryName
+import boragering.core.Store
+import boragering.core.membership.Items
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
--- a/core/src/test/kotlin/boragering/core/DomainControllerTest.kt
+++ b/core/src/test/kotlin/boragering/core/groups/DomainControllerTest.kt
@@ -1,5 +1,14 @@
-package boragering.core
+package boragering.core.groups
 
+import boragering.core.EntryName
+import boragering.core.FabricDomain
+import boragering.core.Fence
+import boragering.core.GroupId
+import boragering.core.Order
+import boragering.core.catalogue.catalogueOf
+import boragering.core.catalogue.modelEntry
+import boragering.core.catalogue.serviceEntry
+import boragering.core.membership.plans
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainAll
--- a/core/src/test/kotlin/boragering/core/EchoBookTest.kt
+++ b/core/src/test/kotlin/boragering/core/groups/EchoBookTest.kt
@@ -1,5 +1,9 @@
-package boragering.core
+package boragering.core.groups
 
+import boragering.core.Clock
+import boragering.core.DaemonId
+import boragering.core.membership.PauseDetector
+import boragering.core.membership.PeerMessage
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
--- a/core/src/test/kotlin/boragering/core/GroupEvidenceTest.kt
+++ b/core/src/test/kotlin/boragering/core/groups/GroupEvidenceTest.kt
@@ -1,5 +1,12 @@
-package boragering.core
+package boragering.core.groups
 
+import boragering.core.EntryName
+import boragering.core.Fence
+import boragering.core.GroupId
+import boragering.core.Incarnation
+import boragering.core.InstanceId
+import boragering.core.InstancePhase
+import boragering.core.InstanceReport
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
--- a/core/src/test/kotlin/boragering/core/GroupHealthTest.kt
+++ b/core/src/test/kotlin/boragering/core/groups/GroupHealthTest.kt
@@ -1,5 +1,20 @@
-package boragering.core
-
+package boragering.core.groups
+
+import boragering.core.AvailabilityZone
+import boragering.core.Clock
+import boragering.core.DaemonId
+import boragering.core.EntryName
+import boragering.core.FabricDomain
+import boragering.core.Fence
+import boragering.core.GroupId
+import boragering.core.GroupSummary
+import boragering.core.Incarnation
+import boragering.core.InstanceId
+import boragering.core.membership.Item
+import boragering.core.membership.Items
+import boragering.core.membership.PeerMessage
+import boragering.core.membership.Peers
+import boragering.core.membership.Registration
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
--- a/core/src/test/kotlin/boragering/core/OrderSenderTest.kt
+++ b/core/src/test/kotlin/boragering/core/groups/OrderSenderTest.kt
@@ -1,7 +1,14 @@
-package boragering.core
+package boragering.core.groups
 
 import arrow.core.Either
 import arrow.core.right
+import boragering.core.Clock
+import boragering.core.Fence
+import boragering.core.GroupId
+import boragering.core.InstanceId
+import boragering.core.Order
+import boragering.core.TargetFailure
+import boragering.core.Targets
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
--- a/core/src/test/kotlin/boragering/core/PlannerTest.kt
+++ b/core/src/test/kotlin/boragering/core/groups/PlannerTest.kt
@@ -1,5 +1,20 @@
-package boragering.core
-
+package boragering.core.groups
+
+import boragering.core.AvailabilityZone
+import boragering.core.DaemonId
+import boragering.core.EntryName
+import boragering.core.FabricDomain
+import boragering.core.Fence
+import boragering.core.GroupId
+import boragering.core.Incarnation
+import boragering.core.InstanceId
+import boragering.core.InstancePhase
+import boragering.core.InstanceReport
+import boragering.core.Order
+import boragering.core.catalogue.Catalogue
+import boragering.core.catalogue.catalogueOf
+import boragering.core.catalogue.modelEntry
+import boragering.core.timeline.HybridTime
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
--- a/core/src/test/kotlin/boragering/core/RivalPlannersTest.kt
+++ b/core/src/test/kotlin/boragering/core/groups/RivalPlannersTest.kt
@@ -1,5 +1,7 @@
-package boragering.core
+package boragering.core.groups
 
+import boragering.core.InstanceId
+import boragering.core.Order
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
--- a/core/src/test/kotlin/boragering/core/DisseminationTest.kt
+++ b/core/src/test/kotlin/boragering/core/membership/DisseminationTest.kt
@@ -1,5 +1,6 @@
-package boragering.core
+package boragering.core.membership
 
+import boragering.core.DaemonId
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.ints.shouldBeGreaterThan
--- a/core/src/test/kotlin/boragering/core/ItemReplicaTest.kt
+++ b/core/src/test/kotlin/boragering/core/membership/ItemReplicaTest.kt
@@ -1,5 +1,6 @@
-package boragering.core
+package boragering.core.membership
 
+import boragering.core.Clock
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
--- a/core/src/test/kotlin/boragering/core/PeerNetwork.kt
+++ b/core/src/test/kotlin/boragering/core/membership/PeerNetwork.kt
@@ -1,8 +1,18 @@
-package boragering.core
+package boragering.core.membership
 
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import boragering.core.AvailabilityZone
+import boragering.core.Clock
+import boragering.core.DaemonId
+import boragering.core.LeaseId
+import boragering.core.Store
+import boragering.core.StoreFailure
+import boragering.core.StoreRevision
+import boragering.core.StoredValue
+import boragering.core.SwapOutcome
+import boragering.core.catalogue.Entry
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
--- a/core/src/test/kotlin/boragering/core/PeerProtocolTest.kt
+++ b/core/src/test/kotlin/boragering/core/membership/PeerProtocolTest.kt
@@ -1,8 +1,9 @@
-package boragering.core
+package boragering.core.membership
 
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import boragering.core.DaemonId
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
--- a/core/src/test/kotlin/boragering/core/AdmissionTest.kt
+++ b/core/src/test/kotlin/boragering/core/requests/AdmissionTest.kt
@@ -1,5 +1,14 @@
-package boragering.core
-
+package boragering.core.requests
+
+import boragering.core.CallerRequest
+import boragering.core.EntryName
+import boragering.core.Header
+import boragering.core.Outcome
+import boragering.core.ProblemKind
+import boragering.core.RequestResult
+import boragering.core.catalogue.RequestLength
+import boragering.core.catalogue.RequestLimits
+import boragering.core.catalogue.Urgency
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
--- a/core/src/test/kotlin/boragering/core/AtMostOnceTest.kt
+++ b/core/src/test/kotlin/boragering/core/requests/AtMostOnceTest.kt
@@ -1,5 +1,14 @@
-package boragering.core
+package boragering.core.requests
 
+import boragering.core.Outcome
+import boragering.core.ProblemKind
+import boragering.core.RequestId
+import boragering.core.RequestResult
+import boragering.core.StoreFault
+import boragering.core.TargetCall
+import boragering.core.claims.Claim
+import boragering.core.claims.ClaimCodec
+import boragering.core.claims.ClaimState
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
--- a/core/src/test/kotlin/boragering/core/ClaimLedgerTest.kt
+++ b/core/src/test/kotlin/boragering/core/requests/ClaimLedgerTest.kt
@@ -1,5 +1,11 @@
-package boragering.core
+package boragering.core.requests
 
+import boragering.core.Outcome
+import boragering.core.Problem
+import boragering.core.ProblemKind
+import boragering.core.StoreFault
+import boragering.core.claims.ClaimCodec
+import boragering.core.claims.ClaimState
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.comparables.shouldBeLessThan
--- a/core/src/test/kotlin/boragering/core/DemandPeakTest.kt
+++ b/core/src/test/kotlin/boragering/core/requests/DemandPeakTest.kt
@@ -1,5 +1,8 @@
-package boragering.core
+package boragering.core.requests
 
+import boragering.core.Header
+import boragering.core.RequestResult
+import boragering.core.catalogue.RequestLength
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.doubles.shouldBeGreaterThan
--- a/core/src/test/kotlin/boragering/core/FakeTarget.kt
+++ b/core/src/test/kotlin/boragering/core/requests/FakeTarget.kt
@@ -1,8 +1,15 @@
-package boragering.core
+package boragering.core.requests
 
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import boragering.core.AnswerPart
+import boragering.core.Bytes
+import boragering.core.Header
+import boragering.core.RequestId
+import boragering.core.TargetCall
+import boragering.core.TargetCalls
+import boragering.core.TargetFailure
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
--- a/core/src/test/kotlin/boragering/core/ReplicaSelectionTest.kt
+++ b/core/src/test/kotlin/boragering/core/requests/ReplicaSelectionTest.kt
@@ -1,5 +1,8 @@
-package boragering.core
+package boragering.core.requests
 
+import boragering.core.GroupId
+import boragering.core.RequestId
+import boragering.core.RequestResult
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldHaveSize
--- a/core/src/test/kotlin/boragering/core/RequestExecutorTest.kt
+++ b/core/src/test/kotlin/boragering/core/requests/RequestExecutorTest.kt
@@ -1,5 +1,15 @@
-package boragering.core
-
+package boragering.core.requests
+
+import boragering.core.AnswerPart
+import boragering.core.EntryName
+import boragering.core.Outcome
+import boragering.core.Problem
+import boragering.core.ProblemKind
+import boragering.core.RequestId
+import boragering.core.RequestResult
+import boragering.core.StoreFault
+import boragering.core.claims.ClaimCodec
+import boragering.core.claims.ClaimState
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
--- a/core/src/test/kotlin/boragering/core/RequestWorld.kt
+++ b/core/src/test/kotlin/boragering/core/requests/RequestWorld.kt
@@ -1,5 +1,35 @@
-package boragering.core
-
+package boragering.core.requests
+
+import boragering.core.AnswerPart
+import boragering.core.AvailabilityZone
+import boragering.core.Bytes
+import boragering.core.CallerRequest
+import boragering.core.Candidate
+import boragering.core.Clock
+import boragering.core.DaemonId
+import boragering.core.EntryName
+import boragering.core.FakeStore
+import boragering.core.Fence
+import boragering.core.GroupId
+import boragering.core.Header
+import boragering.core.OrganisationName
+import boragering.core.RequestId
+import boragering.core.RequestMetrics
+import boragering.core.RequestResult
+import boragering.core.TargetDirectory
+import boragering.core.catalogue.Catalogue
+import boragering.core.catalogue.Entry
+import boragering.core.catalogue.ModelEntry
+import boragering.core.catalogue.Organisation
+import boragering.core.catalogue.RequestClass
+import boragering.core.catalogue.RequestLength
+import boragering.core.catalogue.RequestLimits
+import boragering.core.catalogue.Route
+import boragering.core.catalogue.ServiceEntry
+import boragering.core.catalogue.Urgency
+import boragering.core.membership.Peers
+import boragering.core.membership.Registration
+import boragering.core.timeline.TimelineEntry
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentListOf
--- a/core/src/test/kotlin/boragering/core/HybridClockTest.kt
+++ b/core/src/test/kotlin/boragering/core/timeline/HybridClockTest.kt
@@ -1,5 +1,7 @@
-package boragering.core
+package boragering.core.timeline
 
+import boragering.core.DaemonId
+import boragering.core.catalogue.FakeClock
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.comparables.shouldBeLessThan
--- a/core/src/test/kotlin/boragering/core/TimelineBufferTest.kt
+++ b/core/src/test/kotlin/boragering/core/timeline/TimelineBufferTest.kt
@@ -1,5 +1,10 @@
-package boragering.core
+package boragering.core.timeline
 
+import boragering.core.DaemonId
+import boragering.core.GroupId
+import boragering.core.catalogue.FakeClock
+import boragering.core.groups.DivisionEvent
+import boragering.core.groups.toTimelineEvent
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeSortedWith
 import io.kotest.matchers.collections.shouldContainExactly
--- a/daemon/src/main/kotlin/boragering/daemon/Authentication.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/Authentication.kt
@@ -1,9 +1,9 @@
 package boragering.daemon
 
-import boragering.core.Catalogue
-import boragering.core.CatalogueSource
-import boragering.core.Organisation
 import boragering.core.OrganisationName
+import boragering.core.catalogue.Catalogue
+import boragering.core.catalogue.CatalogueSource
+import boragering.core.catalogue.Organisation
 import org.apache.commons.codec.digest.DigestUtils
 import java.security.MessageDigest
 import java.util.concurrent.atomic.AtomicReference
--- a/daemon/src/main/kotlin/boragering/daemon/DaemonOperator.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/DaemonOperator.kt
@@ -1,30 +1,30 @@
 package boragering.daemon
 
-import boragering.core.Admission
-import boragering.core.ApplyAnswer
-import boragering.core.ApplyRequest
-import boragering.core.CatalogueAnswer
-import boragering.core.CatalogueSource
-import boragering.core.CatalogueText
-import boragering.core.CatalogueWriter
-import boragering.core.DivisionSource
-import boragering.core.DomainController
-import boragering.core.Entry
-import boragering.core.EntryStatus
-import boragering.core.GroupHealth
-import boragering.core.GroupStatus
-import boragering.core.GroupsAnswer
-import boragering.core.HistoryAnswer
-import boragering.core.ModelEntry
-import boragering.core.Peers
-import boragering.core.PeersAnswer
-import boragering.core.RequestAnswer
 import boragering.core.RequestId
-import boragering.core.StatusAnswer
-import boragering.core.TimelineAnswer
-import boragering.core.TimelineBuffer
-import boragering.core.TimelineQuery
-import boragering.core.toTimelineEvent
+import boragering.core.catalogue.ApplyAnswer
+import boragering.core.catalogue.ApplyRequest
+import boragering.core.catalogue.CatalogueAnswer
+import boragering.core.catalogue.CatalogueSource
+import boragering.core.catalogue.CatalogueText
+import boragering.core.catalogue.CatalogueWriter
+import boragering.core.catalogue.Entry
+import boragering.core.catalogue.HistoryAnswer
+import boragering.core.catalogue.ModelEntry
+import boragering.core.groups.DivisionSource
+import boragering.core.groups.DomainController
+import boragering.core.groups.GroupHealth
+import boragering.core.groups.GroupStatus
+import boragering.core.groups.GroupsAnswer
+import boragering.core.groups.toTimelineEvent
+import boragering.core.membership.Peers
+import boragering.core.operators.EntryStatus
+import boragering.core.operators.PeersAnswer
+import boragering.core.operators.RequestAnswer
+import boragering.core.operators.StatusAnswer
+import boragering.core.operators.TimelineAnswer
+import boragering.core.requests.Admission
+import boragering.core.timeline.TimelineBuffer
+import boragering.core.timeline.TimelineQuery
 
 /** The parts of the daemon that operators ask about. */
 internal data class OperatorSources(
--- a/daemon/src/main/kotlin/boragering/daemon/DivisionLoader.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/DivisionLoader.kt
@@ -1,9 +1,9 @@
 package boragering.daemon
 
-import boragering.core.Division
-import boragering.core.DivisionDocument
-import boragering.core.Items
 import boragering.core.Store
+import boragering.core.groups.Division
+import boragering.core.groups.DivisionDocument
+import boragering.core.membership.Items
 import kotlinx.coroutines.delay
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration.Companion.seconds
--- a/daemon/src/main/kotlin/boragering/daemon/LoggedTimeline.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/LoggedTimeline.kt
@@ -1,7 +1,7 @@
 package boragering.daemon
 
-import boragering.core.Timeline
-import boragering.core.TimelineEntry
+import boragering.core.timeline.Timeline
+import boragering.core.timeline.TimelineEntry
 import org.apache.logging.log4j.CloseableThreadContext
 import org.apache.logging.log4j.LogManager
 
--- a/daemon/src/main/kotlin/boragering/daemon/OperatorServer.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/OperatorServer.kt
@@ -1,12 +1,12 @@
 package boragering.daemon
 
-import boragering.core.ApplyRequest
-import boragering.core.ApplyResult
 import boragering.core.GroupId
 import boragering.core.InstanceId
 import boragering.core.RequestId
-import boragering.core.TimelineBuffer
-import boragering.core.TimelineQuery
+import boragering.core.catalogue.ApplyRequest
+import boragering.core.catalogue.ApplyResult
+import boragering.core.timeline.TimelineBuffer
+import boragering.core.timeline.TimelineQuery
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
--- a/daemon/src/main/kotlin/boragering/daemon/OperatorService.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/OperatorService.kt
@@ -1,16 +1,16 @@
 package boragering.daemon
 
-import boragering.core.ApplyAnswer
-import boragering.core.ApplyRequest
-import boragering.core.CatalogueAnswer
-import boragering.core.GroupsAnswer
-import boragering.core.HistoryAnswer
-import boragering.core.PeersAnswer
-import boragering.core.RequestAnswer
 import boragering.core.RequestId
-import boragering.core.StatusAnswer
-import boragering.core.TimelineAnswer
-import boragering.core.TimelineQuery
+import boragering.core.catalogue.ApplyAnswer
+import boragering.core.catalogue.ApplyRequest
+import boragering.core.catalogue.CatalogueAnswer
+import boragering.core.catalogue.HistoryAnswer
+import boragering.core.groups.GroupsAnswer
+import boragering.core.operators.PeersAnswer
+import boragering.core.operators.RequestAnswer
+import boragering.core.operators.StatusAnswer
+import boragering.core.operators.TimelineAnswer
+import boragering.core.timeline.TimelineQuery
 
 /** What operators can ask of a daemon. */
 internal interface OperatorService {
--- a/daemon/src/main/kotlin/boragering/daemon/Settings.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/Settings.kt
@@ -1,7 +1,7 @@
 package boragering.daemon
 
 import boragering.core.AvailabilityZone
-import boragering.core.ReplicaSelection
+import boragering.core.requests.ReplicaSelection
 import kotlinx.collections.immutable.PersistentList
 import kotlin.time.Duration
 
--- a/daemon/src/main/kotlin/boragering/daemon/SettingsReader.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/SettingsReader.kt
@@ -6,11 +6,11 @@
 import arrow.core.right
 import boragering.core.AvailabilityZone
 import boragering.core.Finding
-import boragering.core.HealthSettings
-import boragering.core.ObjectReader
-import boragering.core.ReplicaSelection
-import boragering.core.ValueReader
-import boragering.core.Values
+import boragering.core.catalogue.ObjectReader
+import boragering.core.catalogue.ValueReader
+import boragering.core.catalogue.Values
+import boragering.core.groups.HealthSettings
+import boragering.core.requests.ReplicaSelection
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.serialization.json.JsonArray
--- a/daemon/src/test/kotlin/boragering/daemon/CallerServerTest.kt
+++ b/daemon/src/test/kotlin/boragering/daemon/CallerServerTest.kt
@@ -3,13 +3,13 @@
 import boragering.adapters.HttpClients
 import boragering.core.AnswerPart
 import boragering.core.CallerRequest
-import boragering.core.Catalogue
 import boragering.core.Header
-import boragering.core.Organisation
 import boragering.core.OrganisationName
 import boragering.core.RequestId
 import boragering.core.RequestResult
 import boragering.core.RequestService
+import boragering.core.catalogue.Catalogue
+import boragering.core.catalogue.Organisation
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
--- a/daemon/src/test/kotlin/boragering/daemon/RequestSettingsTest.kt
+++ b/daemon/src/test/kotlin/boragering/daemon/RequestSettingsTest.kt
@@ -1,6 +1,6 @@
 package boragering.daemon
 
-import boragering.core.ReplicaSelection
+import boragering.core.requests.ReplicaSelection
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.shouldBe
--- a/gateway/src/main/kotlin/boragering/gateway/PeerMirror.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PeerMirror.kt
@@ -1,12 +1,12 @@
 package boragering.gateway
 
 import boragering.core.DaemonId
-import boragering.core.PeerLink
-import boragering.core.PeerMessage
-import boragering.core.Peers
-import boragering.core.StoreDocument
 import boragering.core.StoreRevision
 import boragering.core.StoredValue
+import boragering.core.membership.PeerLink
+import boragering.core.membership.PeerMessage
+import boragering.core.membership.Peers
+import boragering.core.membership.StoreDocument
 import kotlinx.collections.immutable.toPersistentList
 import kotlin.random.Random
 import kotlin.time.Duration
--- a/load/src/main/kotlin/boragering/load/LoadRun.kt
+++ b/load/src/main/kotlin/boragering/load/LoadRun.kt
@@ -1,6 +1,6 @@
 package boragering.load
 
-import boragering.core.Group
+import boragering.core.groups.Group
 import boragering.scenarios.Deployment
 import boragering.scenarios.GroupView
 import boragering.scenarios.run
--- a/measurements/src/main/kotlin/boragering/measurements/CatalogueFixtures.kt
+++ b/measurements/src/main/kotlin/boragering/measurements/CatalogueFixtures.kt
@@ -1,17 +1,17 @@
 package boragering.measurements
 
-import boragering.core.Catalogue
-import boragering.core.Entry
 import boragering.core.EntryName
-import boragering.core.ModelEntry
-import boragering.core.Organisation
 import boragering.core.OrganisationName
-import boragering.core.RequestClass
-import boragering.core.RequestLength
-import boragering.core.RequestLimits
-import boragering.core.Route
-import boragering.core.ServiceEntry
-import boragering.core.Urgency
+import boragering.core.catalogue.Catalogue
+import boragering.core.catalogue.Entry
+import boragering.core.catalogue.ModelEntry
+import boragering.core.catalogue.Organisation
+import boragering.core.catalogue.RequestClass
+import boragering.core.catalogue.RequestLength
+import boragering.core.catalogue.RequestLimits
+import boragering.core.catalogue.Route
+import boragering.core.catalogue.ServiceEntry
+import boragering.core.catalogue.Urgency
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentListOf
 import kotlin.time.Duration.Companion.hours
--- a/measurements/src/main/kotlin/boragering/measurements/CatalogueMeasurement.kt
+++ b/measurements/src/main/kotlin/boragering/measurements/CatalogueMeasurement.kt
@@ -1,17 +1,17 @@
 package boragering.measurements
 
-import boragering.core.ApplyRequest
-import boragering.core.ApplyResult
-import boragering.core.Catalogue
-import boragering.core.CatalogueKeys
-import boragering.core.CatalogueReplica
-import boragering.core.CatalogueText
-import boragering.core.CatalogueWriter
 import boragering.core.EntryName
-import boragering.core.Item
-import boragering.core.ItemReplica
-import boragering.core.ModelEntry
-import boragering.core.Timeline
+import boragering.core.catalogue.ApplyRequest
+import boragering.core.catalogue.ApplyResult
+import boragering.core.catalogue.Catalogue
+import boragering.core.catalogue.CatalogueKeys
+import boragering.core.catalogue.CatalogueReplica
+import boragering.core.catalogue.CatalogueText
+import boragering.core.catalogue.CatalogueWriter
+import boragering.core.catalogue.ModelEntry
+import boragering.core.membership.Item
+import boragering.core.membership.ItemReplica
+import boragering.core.timeline.Timeline
 import kotlinx.coroutines.runBlocking
 import kotlin.random.Random
 
--- a/measurements/src/main/kotlin/boragering/measurements/Directories.kt
+++ b/measurements/src/main/kotlin/boragering/measurements/Directories.kt
@@ -2,18 +2,18 @@
 
 import boragering.core.Candidate
 import boragering.core.DaemonId
-import boragering.core.Division
-import boragering.core.DivisionSource
-import boragering.core.EchoBook
 import boragering.core.EntryName
 import boragering.core.FabricDomain
 import boragering.core.Fence
-import boragering.core.GroupHealth
 import boragering.core.GroupId
 import boragering.core.GroupSummary
-import boragering.core.PeerMessage
-import boragering.core.Peers
 import boragering.core.TargetDirectory
+import boragering.core.groups.Division
+import boragering.core.groups.DivisionSource
+import boragering.core.groups.EchoBook
+import boragering.core.groups.GroupHealth
+import boragering.core.membership.PeerMessage
+import boragering.core.membership.Peers
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
--- a/measurements/src/main/kotlin/boragering/measurements/MemoryMeasurement.kt
+++ b/measurements/src/main/kotlin/boragering/measurements/MemoryMeasurement.kt
@@ -1,19 +1,19 @@
 package boragering.measurements
 
-import boragering.core.DaemonRecord
-import boragering.core.DaemonState
-import boragering.core.Division
-import boragering.core.DivisionDocument
-import boragering.core.DivisionReplica
 import boragering.core.GroupId
-import boragering.core.HybridClock
-import boragering.core.Item
-import boragering.core.ItemReplica
-import boragering.core.ListedInstance
 import boragering.core.RequestId
-import boragering.core.Timeline
-import boragering.core.TimelineBuffer
-import boragering.core.TimelineEntry
+import boragering.core.groups.Division
+import boragering.core.groups.DivisionDocument
+import boragering.core.groups.DivisionReplica
+import boragering.core.groups.ListedInstance
+import boragering.core.membership.DaemonRecord
+import boragering.core.membership.DaemonState
+import boragering.core.membership.Item
+import boragering.core.membership.ItemReplica
+import boragering.core.timeline.HybridClock
+import boragering.core.timeline.Timeline
+import boragering.core.timeline.TimelineBuffer
+import boragering.core.timeline.TimelineEntry
 import kotlinx.serialization.json.Json
 
 /** Heap of what every daemon keeps. */
--- a/measurements/src/main/kotlin/boragering/measurements/PeersMeasurement.kt
+++ b/measurements/src/main/kotlin/boragering/measurements/PeersMeasurement.kt
@@ -2,17 +2,17 @@
 
 import boragering.adapters.PeerWire
 import boragering.core.DaemonId
-import boragering.core.DaemonRecord
-import boragering.core.DaemonState
 import boragering.core.Fence
 import boragering.core.GroupId
 import boragering.core.GroupSummary
-import boragering.core.HybridTime
-import boragering.core.Item
-import boragering.core.ItemDigest
-import boragering.core.PeerEnvelope
-import boragering.core.PeerMessage
-import boragering.core.Registration
+import boragering.core.membership.DaemonRecord
+import boragering.core.membership.DaemonState
+import boragering.core.membership.Item
+import boragering.core.membership.ItemDigest
+import boragering.core.membership.PeerEnvelope
+import boragering.core.membership.PeerMessage
+import boragering.core.membership.Registration
+import boragering.core.timeline.HybridTime
 import kotlinx.serialization.json.Json
 
 /** Bytes of the frames between daemons, and the processor time to encode and decode them. */
--- a/scenarios/src/main/kotlin/boragering/scenarios/Demo.kt
+++ b/scenarios/src/main/kotlin/boragering/scenarios/Demo.kt
@@ -1,7 +1,7 @@
 package boragering.scenarios
 
-import boragering.core.GroupStatus
 import boragering.core.InstanceId
+import boragering.core.groups.GroupStatus
 import java.io.PrintStream
 import java.util.UUID
 import kotlin.io.path.writeText
--- a/scenarios/src/main/kotlin/boragering/scenarios/Deployment.kt
+++ b/scenarios/src/main/kotlin/boragering/scenarios/Deployment.kt
@@ -1,8 +1,8 @@
 package boragering.scenarios
 
-import boragering.core.ApplyAnswer
-import boragering.core.ApplyRequest
-import boragering.core.ApplyResult
+import boragering.core.catalogue.ApplyAnswer
+import boragering.core.catalogue.ApplyRequest
+import boragering.core.catalogue.ApplyResult
 import boragering.standins.tokenHash
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
--- a/scenarios/src/main/kotlin/boragering/scenarios/GroupView.kt
+++ b/scenarios/src/main/kotlin/boragering/scenarios/GroupView.kt
@@ -1,8 +1,8 @@
 package boragering.scenarios
 
-import boragering.core.Group
-import boragering.core.GroupStatus
 import boragering.core.InstanceId
+import boragering.core.groups.Group
+import boragering.core.groups.GroupStatus
 
 /** The groups of the entry called [entry] as [daemons] see them. */
 class GroupView(private val daemons: List<DaemonHandle>, private val entry: String) {
--- a/scenarios/src/main/kotlin/boragering/scenarios/OperatorPort.kt
+++ b/scenarios/src/main/kotlin/boragering/scenarios/OperatorPort.kt
@@ -1,12 +1,12 @@
 package boragering.scenarios
 
-import boragering.core.ApplyAnswer
-import boragering.core.ApplyRequest
-import boragering.core.CatalogueAnswer
-import boragering.core.GroupsAnswer
-import boragering.core.PeersAnswer
-import boragering.core.StatusAnswer
-import boragering.core.TimelineAnswer
+import boragering.core.catalogue.ApplyAnswer
+import boragering.core.catalogue.ApplyRequest
+import boragering.core.catalogue.CatalogueAnswer
+import boragering.core.groups.GroupsAnswer
+import boragering.core.operators.PeersAnswer
+import boragering.core.operators.StatusAnswer
+import boragering.core.operators.TimelineAnswer
 import java.io.IOException
 
 /** A daemon's port for operators at [address]. */
--- a/scenarios/src/main/kotlin/boragering/scenarios/SingleGroupCheck.kt
+++ b/scenarios/src/main/kotlin/boragering/scenarios/SingleGroupCheck.kt
@@ -1,8 +1,8 @@
 package boragering.scenarios
 
-import boragering.core.Division
 import boragering.core.FabricDomain
-import boragering.core.Member
+import boragering.core.groups.Division
+import boragering.core.groups.Member
 import boragering.standins.RecordedWrite
 
 /**
--- a/scenarios/src/test/kotlin/boragering/scenarios/ControlFaultScenarioTest.kt
+++ b/scenarios/src/test/kotlin/boragering/scenarios/ControlFaultScenarioTest.kt
@@ -1,8 +1,8 @@
 package boragering.scenarios
 
-import boragering.core.ApplyRequest
-import boragering.core.ApplyResult
-import boragering.core.Registration
+import boragering.core.catalogue.ApplyRequest
+import boragering.core.catalogue.ApplyResult
+import boragering.core.membership.Registration
 import boragering.standins.ServiceFaults
 import boragering.standins.StoreFaults
 import io.kotest.core.spec.style.DescribeSpec
--- a/scenarios/src/test/kotlin/boragering/scenarios/EvidenceTest.kt
+++ b/scenarios/src/test/kotlin/boragering/scenarios/EvidenceTest.kt
@@ -1,14 +1,14 @@
 package boragering.scenarios
 
-import boragering.core.Division
 import boragering.core.EntryName
 import boragering.core.FabricDomain
 import boragering.core.Fence
-import boragering.core.Group
 import boragering.core.GroupId
 import boragering.core.Incarnation
 import boragering.core.InstanceId
-import boragering.core.Member
+import boragering.core.groups.Division
+import boragering.core.groups.Group
+import boragering.core.groups.Member
 import boragering.standins.AnswerText
 import boragering.standins.EngineMember
 import boragering.standins.EngineOrder
