--- a/gateway/src/main/kotlin/boragering/gateway/AnswerProgress.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/AnswerProgress.kt
@@ -72,7 +72,7 @@
 
     private fun refuse(refusal: Refusal): Ending {
         answer.refuse(refusal)
-        return Ending("refused", refusal.status)
+        return Ending("refused", refusal.status, refusal.reason)
     }
 
     private class TargetFailure(val head: AnswerHead, val body: ByteArray)
@@ -82,5 +82,10 @@
     }
 }
 
-/** How an answer ended, and its status; 0 when the caller saw only the connection close. */
-internal data class Ending(val outcome: String, val status: Int)
+/**
+ * How an answer ended.
+ *
+ * @property status what the caller got; 0 when it saw only the connection close.
+ * @property reason why the gateway refused the request; `null` when it did not.
+ */
+internal data class Ending(val outcome: String, val status: Int, val reason: String? = null)
--- a/gateway/src/main/kotlin/boragering/gateway/ExchangeLog.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ExchangeLog.kt
@@ -47,6 +47,7 @@
                 "route" to route,
                 "outcome" to ending.outcome,
                 "status" to ending.status,
+                "reason" to ending.reason,
                 "sends" to sends,
                 "after" to after,
                 "configuration" to state.routes?.version,
