Begin loads that complete groups beside those for spares

Cause: the store of weights serves four loads at a time at full speed, each of 12 to 16 s.

Change: a load that completes a group of a model that lacks groups may begin with up to twice as many running; each load is counted before the next one asks.

--- a/fleet/src/main/kotlin/boragering/fleet/GroupComposer.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupComposer.kt
@@ -72,7 +72,7 @@
         return free.flatMap { (domain, spares) ->
             val held = models.associate { it.name to holders(domain, it.name) }
             StagingPlan(models, held, lacking, input.staging).wishes(spares)
-        }.sortedBy { it.missing }
+        }.sortedWith(compareBy({ !it.urgent }, { it.missing }))
     }
 
     private fun take(options: List<Option>): Composition? {
--- a/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
@@ -101,7 +101,7 @@
             else -> emptyList()
         }
         val formed = compositions.flatMap { form(it, state, now) }
-        val staged = spares.stage(composer, state, now) { gate.take(now, loading(state), state.engine) }
+        val staged = spares.stage(composer, state, now) { gate.take(now, loading(state), state.engine, it) }
         // The pool is about to be divided; its instances get their weights ready in their groups.
         val warmed = if (formations.unused) emptyList() else spares.warm(composer.spares, state, now)
         return formed + staged + warmed
--- a/fleet/src/main/kotlin/boragering/fleet/LoadGate.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/LoadGate.kt
@@ -10,11 +10,15 @@
 internal class LoadGate {
     private val starts = ArrayDeque<Duration>()
 
-    /** Takes the permission for one load while [running] others run; `false` when it has to wait. */
-    fun take(now: Duration, running: Int, engine: EngineProfile): Boolean {
+    /**
+     * Takes the permission for one load while [running] others run; `false` when it has to wait. One that completes a
+     * group ([urgent]) begins though it slows the others, which are only for spare instances.
+     */
+    fun take(now: Duration, running: Int, engine: EngineProfile, urgent: Boolean = false): Boolean {
         while (starts.isNotEmpty() && now - starts.first() > WINDOW) starts.removeFirst()
         val allowed = (engine.loadsPerSecond * (WINDOW / 1.seconds)).toInt().coerceAtLeast(1)
-        if (running >= engine.loadsAtOnce || starts.size >= allowed) return false
+        val limit = if (urgent) engine.loadsAtOnce * URGENT_LOADS else engine.loadsAtOnce
+        if (running >= limit || starts.size >= allowed) return false
         starts.addLast(now)
         return true
     }
@@ -24,5 +28,8 @@
 
     private companion object {
         val WINDOW = 5.seconds
+
+        /** Urgent loads begin up to this multiple of the number that the store of weights serves at full speed. */
+        const val URGENT_LOADS = 2
     }
 }
--- a/fleet/src/main/kotlin/boragering/fleet/SparePreparation.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/SparePreparation.kt
@@ -25,11 +25,17 @@
     /** Number of loads that run. */
     fun loading(state: PoolState): Int = stagings.loading(state)
 
-    /** Orders to the spare instances that hold no weights yet; [load] takes the permission for one load. */
-    fun stage(composer: GroupComposer, state: PoolState, now: Duration, load: () -> Boolean): List<AddressedOrder> =
-        composer.stagings { domain, model -> stagings.holders(state, domain, model) }
-            .filter { it.instance !in stagings && load() }
-            .map { stagings.order(it.instance, it.model, now) }
+    /** Orders to spare instances that lack weights; [load] takes the permission for one load, urgent or not. */
+    fun stage(
+        composer: GroupComposer,
+        state: PoolState,
+        now: Duration,
+        load: (Boolean) -> Boolean,
+    ): List<AddressedOrder> =
+        composer.stagings { domain, model -> stagings.holders(state, domain, model) }.mapNotNull { wish ->
+            val permitted = wish.instance !in stagings && load(wish.urgent)
+            if (permitted) stagings.order(wish.instance, wish.model, now) else null
+        }
 
     /** Orders to those of [spares] whose weights lie on their hosts only. */
     fun warm(spares: List<Instance>, state: PoolState, now: Duration): List<AddressedOrder> =
--- a/fleet/src/main/kotlin/boragering/fleet/StagingPlan.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/StagingPlan.kt
@@ -1,7 +1,11 @@
 package boragering.fleet
 
-/** That a spare instance should stage [model]; [missing] instances are needed until a group of it can be formed. */
-internal data class StagingWish(val instance: Instance, val model: ModelName, val missing: Int)
+/**
+ * That a spare instance should stage [model]; [missing] instances are needed until a group of it can be formed.
+ *
+ * @property urgent whether the model lacks groups and others of the group are there.
+ */
+internal data class StagingWish(val instance: Instance, val model: ModelName, val missing: Int, val urgent: Boolean)
 
 /**
  * Decides which weights the spare instances of one domain stage: first what completes a group of a model that lacks
@@ -26,8 +30,10 @@
         val empty = spares.filter { spare -> ready.values.none { spare in it } }
         val present = ready.mapValuesTo(HashMap()) { it.value.size }
         val wishes = empty.map { spare ->
-            val model = completed(present) ?: scarcest()
-            StagingWish(spare, model.name, model.groupSize - present.getValue(model.name)).also {
+            val completed = completed(present)
+            val model = completed ?: scarcest()
+            val missing = model.groupSize - present.getValue(model.name)
+            StagingWish(spare, model.name, missing, urgent = completed != null).also {
                 present.merge(model.name, 1, Int::plus)
                 added.merge(model.name, 1, Int::plus)
             }
@@ -40,7 +46,7 @@
         val missing = model.groupSize - present.getValue(model.name)
         val others = spares.filter { !ready(it, model.name) && it.start !in staging }
         val enough = others.takeIf { it.size >= missing }.orEmpty()
-        return enough.take(missing).map { StagingWish(it, model.name, missing) }
+        return enough.take(missing).map { StagingWish(it, model.name, missing, urgent = true) }
     }
 
     /** The lacking model of which a group is nearest to being complete. */
--- a/fleet/src/test/kotlin/boragering/fleet/LoadGateTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/LoadGateTest.kt
@@ -34,4 +34,12 @@
             gate.take(1.seconds, running = 0, engine) shouldBe false
         }
     }
+
+    describe("a load that completes a group") {
+        it("begins beside as many as the store serves at full speed (guards against groups that wait for spares)") {
+            val gate = LoadGate()
+            gate.take(10.seconds, running = engine.loadsAtOnce, engine) shouldBe false
+            gate.take(10.seconds, running = engine.loadsAtOnce, engine, urgent = true) shouldBe true
+        }
+    }
 })
