Remember the model of an instance that has left its group

The former head of a large group was told to get the small model ready: the list shows no model of an instance without a group, and its host had the small one staged. It would have joined a large group in 0.2 s; the group had all other members.

Change: the planner remembers the last model of each start of an instance. The fake instances of the tests show no model without a group, like the platform's.

--- a/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
@@ -29,12 +29,14 @@
     private val epochs = GroupEpochs(fence)
     private val spares = SparePreparation(epochs)
     private val settling = SettlingPool()
+    private val lastModels = LastModels()
     private val gate = LoadGate()
     private val notes = ArrayList<PlanningNote>()
     private var started = false
 
     /** Decides what to do at [now], a time of the monotonic clock. */
-    fun step(state: PoolState, now: Duration): PlanningStep {
+    fun step(listed: PoolState, now: Duration): PlanningStep {
+        val state = lastModels.recall(listed)
         adopt(state, now)
         val orders = formations.all.flatMap { advance(it, state, now) }
         val composed = compose(state, now)
--- a/fleet/src/main/kotlin/boragering/fleet/PoolState.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/PoolState.kt
@@ -20,6 +20,9 @@
     /** Those of them that take requests. */
     val serving: List<Instance> = answering.filter { it.state == InstanceState.SERVING }
 
+    /** The same pool with [changed] in place of the instances. */
+    fun withInstances(changed: List<Instance>): PoolState = PoolState(engine, changed, unreachable)
+
     /** The instance as it is listed now; `null` when this start of it is not listed or does not answer. */
     fun present(start: InstanceStart): Instance? = answeringByStart[start]
 }
--- a/fleet/src/test/kotlin/boragering/fleet/FakePool.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/FakePool.kt
@@ -129,7 +129,8 @@
         availabilityZone = AvailabilityZone("z"),
         state = if (leaving) InstanceState.LEAVING else InstanceState.SERVING,
         domain = domain,
-        loaded = loaded?.let { persistentSetOf(it) } ?: persistentSetOf(),
+        // Without a group the list shows no model, though the instance joins one of its last model at once.
+        loaded = loaded?.takeIf { group != null }?.let { persistentSetOf(it) } ?: persistentSetOf(),
         staged = staged?.let { persistentSetOf(it) } ?: persistentSetOf(),
         membership = membership,
     )
