--- a/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
@@ -1,6 +1,5 @@
 package boragering.fleet
 
-import boragering.core.GroupId
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
@@ -25,17 +24,19 @@
  *
  * @param fence grows from planner to planner.
  */
-class GroupPlanner(private val fence: Long) {
+class GroupPlanner(fence: Long) {
     private val formations = FormationBook()
-    private val stagings = StagingBook()
+    private val epochs = GroupEpochs(fence)
+    private val spares = SparePreparation(epochs)
     private val settling = SettlingPool()
+    private val lastModels = LastModels()
     private val gate = LoadGate()
     private val notes = ArrayList<PlanningNote>()
-    private var compositions = 0L
     private var started = false
 
     /** Decides what to do at [now], a time of the monotonic clock. */
-    fun step(state: PoolState, now: Duration): PlanningStep {
+    fun step(listed: PoolState, now: Duration): PlanningStep {
+        val state = lastModels.recall(listed)
         adopt(state, now)
         val orders = formations.all.flatMap { advance(it, state, now) }
         val composed = compose(state, now)
@@ -46,7 +47,7 @@
 
     /** Takes the outcome of an order that [step] asked for. */
     fun answered(addressed: AddressedOrder, outcome: OrderOutcome) {
-        stagings.answered(addressed, outcome)
+        spares.answered(addressed, outcome)
         val sent = formations[addressed.order.group]?.sent?.get(addressed.instance.id)
         if (sent?.order == addressed.order) sent.outcome = outcome
     }
@@ -86,55 +87,48 @@
 
     private fun permitted(addressed: AddressedOrder, state: PoolState, now: Duration): Boolean {
         val model = (addressed.order as? Order.Join)?.model ?: return true
-        return addressed.instance.holds(model) || gate.take(now, loading(state), state.engine)
+        val begun = addressed.instance.holds(model) || spares.staging[addressed.instance.start] == model
+        return begun || gate.take(now, loading(state), state.engine)
     }
 
-    private fun loading(state: PoolState): Int = formations.loading(state) + stagings.loading(state)
+    private fun loading(state: PoolState): Int = formations.loading(state) + spares.loading(state)
 
     private fun compose(state: PoolState, now: Duration): List<AddressedOrder> {
+        settling.observe(state, now)
+        spares.retain(state, now)
+        val composer = GroupComposer(input(state, now))
+        val compositions = when {
+            !formations.unused -> composer.compose()
+            settling.settled(now) -> composer.divide()
+            else -> emptyList()
+        }
+        val formed = compositions.flatMap { form(it, state, now) }
+        val staged = spares.stage(composer, state, now) { gate.take(now, loading(state), state.engine, it) }
+        // The pool is about to be divided; its instances get their weights ready in their groups.
+        val warmed = if (formations.unused) emptyList() else spares.warm(composer.spares, state, now)
+        return formed + staged + warmed
+    }
+
+    private fun input(state: PoolState, now: Duration): CompositionInput {
         val members = formations.members
-        val ending = formations.ending(now)
         val free = state.serving.filter { it.start !in members }.groupBy { it.groupDomain }
-        val composer = GroupComposer(
-            CompositionInput(
-                engine = state.engine,
-                free = free.filterKeys { it !in ending },
-                usable = state.serving.groupingBy { it.groupDomain }.eachCount(),
-                assigned = formations.assigned(),
-                staging = stagings.models,
-                loads = state.engine.loadsAtOnce - loading(state),
-            ),
+        val ending = formations.ending(now)
+        return CompositionInput(
+            engine = state.engine,
+            free = free,
+            waiting = free.keys.filterTo(HashSet()) { it in ending || settling.growing(it, now) },
+            usable = state.serving.groupingBy { it.groupDomain }.eachCount(),
+            assigned = formations.assigned(),
+            staging = spares.staging,
         )
-        val compositions = when {
-            !settling.settled(state, now) -> emptyList()
-            formations.unused -> composer.divide()
-            else -> composer.compose()
-        }
-        return compositions.flatMap { form(it, state, now) } + stage(composer, state, now)
     }
 
     private fun form(composition: Composition, state: PoolState, now: Duration): List<AddressedOrder> {
-        compositions += 1
-        val epoch = fence * COMPOSITIONS_PER_PLANNER + compositions
-        val group = GroupEpoch(GroupId("group-$epoch"), epoch)
+        val group = epochs.group()
         val members = composition.members.toPersistentList()
         val formation = Formation(group, composition.model, members, now, adopted = false)
         formations.add(formation)
         notes += PlanningNote(group, "group-formed", "${composition.model} of ${members.joinToString { it.id.value }}")
         return advance(formation, state, now)
     }
-
-    private fun stage(composer: GroupComposer, state: PoolState, now: Duration): List<AddressedOrder> {
-        stagings.retain(state)
-        return composer.stagings { domain, model -> stagings.holders(state, domain, model) }
-            .mapNotNull { (instance, model) ->
-                val permitted = instance !in stagings && gate.take(now, loading(state), state.engine)
-                if (permitted) stagings.order(instance, model) else null
-            }
-    }
-
-    private companion object {
-        /** Epochs of one planner; its successor's fence is at least one higher. */
-        const val COMPOSITIONS_PER_PLANNER = 1_000L
-    }
 }
--- a/fleet/src/test/kotlin/boragering/fleet/FakePool.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/FakePool.kt
@@ -37,7 +37,12 @@
 }
 
 /** An engine instance that follows the engines' published rules, without a network. */
-internal class FakeInstance(val id: InstanceId, val domain: FabricDomain, val startedAt: Long) {
+internal class FakeInstance(
+    val id: InstanceId,
+    val domain: FabricDomain,
+    val startedAt: Long,
+    private var staged: ModelName? = null,
+) {
     private var readyAt: Duration? = null
     private var openAt: Duration? = null
     private var highestEpoch = 0L
@@ -45,7 +50,6 @@
     private var state: MemberState? = null
     private var loaded: ModelName? = null
     private var stagedAt: Pair<ModelName, Duration>? = null
-    private var staged: ModelName? = null
 
     var alive = true
     var leaving = false
@@ -125,7 +129,8 @@
         availabilityZone = AvailabilityZone("z"),
         state = if (leaving) InstanceState.LEAVING else InstanceState.SERVING,
         domain = domain,
-        loaded = loaded?.let { persistentSetOf(it) } ?: persistentSetOf(),
+        // Without a group the list shows no model, though the instance joins one of its last model at once.
+        loaded = loaded?.takeIf { group != null }?.let { persistentSetOf(it) } ?: persistentSetOf(),
         staged = staged?.let { persistentSetOf(it) } ?: persistentSetOf(),
         membership = membership,
     )
@@ -161,9 +166,9 @@
         repeat(domains) { domain -> repeat(perDomain) { add(FabricDomain("d$domain")) } }
     }
 
-    fun add(domain: FabricDomain) {
+    fun add(domain: FabricDomain, staged: ModelName? = null) {
         started += 1
-        instances += FakeInstance(InstanceId("i$started"), domain, started)
+        instances += FakeInstance(InstanceId("i$started"), domain, started, staged)
     }
 
     /** Another gateway becomes the planner; what the former one remembers is lost. */
@@ -258,9 +263,11 @@
         return TargetTable.of(list, mapOf(profile.name to profile))
     }
 
-    private companion object {
-        val STEP = 100.milliseconds
-        val LIST_LAG = 300.milliseconds
+    companion object {
+        private val STEP = 100.milliseconds
+        private val LIST_LAG = 300.milliseconds
+
+        /** Time for which the list shows an instance that has ended. */
         val LISTED_AFTER_DEATH = 3.seconds
     }
 }
--- a/fleet/src/test/kotlin/boragering/fleet/GroupPlannerTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/GroupPlannerTest.kt
@@ -38,6 +38,31 @@
         }
     }
 
+    describe("a pool whose instances list themselves with a pause") {
+        val pool = FakePool(Random(8), domains = 0)
+        repeat(48) {
+            pool.add(FabricDomain("d${it % 6}"))
+            pool.run(if (it == 9) 0.8.seconds else 0.1.seconds)
+        }
+        val staged = pool.instances.count { it.listed().staged.isNotEmpty() || it.orders > 0 }
+
+        it("begins to stage weights meanwhile (guards against a store of weights that stands idle)") {
+            staged shouldBeGreaterThanOrEqual 6
+        }
+
+        it("is divided as a whole (guards against a division of the first instances, and groups that lack later)") {
+            pool.run(180.seconds)
+            pool.targets() shouldContainExactly mapOf(large to 6, small to 6)
+            pool.breaches.shouldBeEmpty()
+        }
+
+        it("has spare instances for each model (guards against a model that a loss leaves without a spare)") {
+            val grouped = pool.instances.groupBy { it.membership?.group }.filterValues { it.size > 1 }
+            val spares = pool.instances.filter { it.membership?.group !in grouped }
+            spares.flatMap { it.listed().loaded }.toSet() shouldBe setOf(large, small)
+        }
+    }
+
     describe("a group that loses a member") {
         it("is formed anew with a spare instance after a warm-up (guards against loads for each loss)") {
             val pool = FakePool(Random(2))
@@ -48,6 +73,30 @@
             pool.breaches.shouldBeEmpty()
         }
 
+        it("serves again as soon as the loss is known (guards against a warm-up at each loss)") {
+            val pool = FakePool(Random(2))
+            pool.run(120.seconds)
+            pool.kill(pool.memberOf(model = 4))
+            pool.run(FakePool.LISTED_AFTER_DEATH + 1.7.seconds)
+            pool.targets()[large] shouldBe 3
+        }
+
+        it("waits for no load when a holder of the weights comes (guards against members bound to a load)") {
+            val pool = FakePool(Random(9), domains = 1)
+            pool.run(120.seconds)
+            val lost = pool.memberOf(model = 4)
+            pool.instances.filter { spare -> spare.membership?.let { GroupEpochs.standby(it.group) } == true }
+                .forEach(pool::kill)
+            pool.kill(lost)
+            pool.run(5.seconds)
+            pool.add(FabricDomain("d0"))
+            pool.run(3.seconds)
+            pool.add(FabricDomain("d0"), staged = large)
+            pool.run(6.seconds)
+            pool.targets()[large] shouldBe 1
+            pool.breaches.shouldBeEmpty()
+        }
+
         it("leaves its members free for others when no spare is left (guards against stranded instances)") {
             val pool = FakePool(Random(3), domains = 1)
             pool.run(90.seconds)
