Form groups that their model lacks, whatever the balance

Cause: found on reading the planner. A model whose supply was over 1.5 times that of the scarcest one got no group, also when it had less than its share and instances stood ready that hold only its weights. While the large model lacks groups for a load of 16 s, a small group that loses a member would stay away.

Change: the balance decides only on groups beyond a model's share.

--- a/fleet/src/main/kotlin/boragering/fleet/GroupComposer.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupComposer.kt
@@ -62,7 +62,7 @@
     fun compose(): List<Composition> = generateSequence {
         val domains = free.keys - input.waiting
         val options = engine.models.values.flatMap { model -> domains.mapNotNull { option(model, it) } }
-        take(options.filter { it.ready && balanced(it) && bearable(it) })
+        take(options.filter { it.ready && bearable(it) })
     }.toList()
 
     /** What the remaining spare instances should stage, the most urgent first. */
@@ -93,10 +93,10 @@
     private fun lacks(model: ModelProfile): Boolean =
         (assigned[model.name] ?: 0) < input.usable.values.sumOf(model::instancesInGroups)
 
-    /** A group beyond its model's share leaves a spare instance for each model, as losses go on. */
+    /** A group beyond its model's share leaves a spare instance for each model, as losses go on, and a balance. */
     private fun bearable(option: Option): Boolean {
         val left = free.getValue(option.domain).size - option.model.groupSize
-        return lacks(option.model) || left >= engine.models.size
+        return lacks(option.model) || balanced(option) && left >= engine.models.size
     }
 
     private fun balanced(option: Option): Boolean {
