--- a/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
@@ -3,6 +3,7 @@
 import boragering.adapters.MetricRegistry
 import boragering.adapters.SystemClock
 import boragering.core.AvailabilityZone
+import boragering.core.Clock
 import boragering.core.InstanceId
 import boragering.core.OrganisationName
 import boragering.fleet.Address
@@ -45,6 +46,18 @@
     failedInstance = "Failed-Instance",
 )
 
+/** The system's clock, whose monotonic time a test can move on. */
+internal class MovableClock : Clock by SystemClock {
+    @Volatile
+    private var moved = Duration.ZERO
+
+    override fun monotonic(): Duration = SystemClock.monotonic() + moved
+
+    fun advance(time: Duration) {
+        moved += time
+    }
+}
+
 /** A gateway on loopback before [targets], which serve one route of each repeatability: `/idempotent/`, and so on. */
 internal class GatewayFixture(
     private vararg val targets: ScriptedTarget,
@@ -54,7 +67,8 @@
     configured: Boolean = true,
     callers: Int = 100,
 ) : AutoCloseable {
-    private val loop = GatewayLoop(SystemClock)
+    val clock = MovableClock()
+    private val loop = GatewayLoop(clock)
     private val service = ServiceName("service")
     private val settings = GatewaySettings(
         availabilityZone = AvailabilityZone("z"),
@@ -63,7 +77,7 @@
         callers = callers,
     )
     private val ports =
-        GatewayPorts(loop, DecisionLog(SystemClock), GatewayMetrics(MetricRegistry()), Random(1), { 1 })
+        GatewayPorts(loop, DecisionLog(clock), GatewayMetrics(MetricRegistry()), Random(1), { 1 })
     val gateway = Gateway(settings, ports)
     val address = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
 
--- a/gateway/src/test/kotlin/boragering/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/GatewayTest.kt
@@ -63,8 +63,10 @@
             ScriptedTarget { answer(200, "done") }.use { target ->
                 with(GatewayFixture(target, configured = false)) {
                     val caller = caller()
-                    caller.request("/idempotent/a")
-                    Thread.sleep(300)
+                    caller.request("/idempotent/a", "Expect: 100-continue")
+                    // The gateway has taken the request when it says so.
+                    caller.awaitText("100 Continue\r\n\r\n")
+                    clock.advance(300.milliseconds)
                     configure()
                     caller.answer()?.status shouldBe 200
                 }
