Count a request's time from when its bytes are read

The gateway wrote 100 Continue before it noted the request's arrival, both on its event loop. The test reads that line, moves the clock on by 300 ms, and could do so between the two. The same order makes the gateway count the time of requests too late while it is busy: all that is decoded in one read before a request counted as time that the caller had not waited.

Change: the arrival is the moment at which the connection's last bytes were read, which was noted already for the time limits of callers. The check is unchanged.

--- a/gateway/src/main/kotlin/boragering/gateway/CallerConnection.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/CallerConnection.kt
@@ -124,7 +124,7 @@
             is Assembled.Whole -> {
                 headComplete = false
                 arrivals.requestSince = null
-                requests.add(assembled.request)
+                requests.add(assembled.request, arrivals.heardAt)
             }
         }
     }
--- a/gateway/src/main/kotlin/boragering/gateway/CallerRequests.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/CallerRequests.kt
@@ -28,9 +28,9 @@
     /** Whether no request waits for its answer. */
     val idle: Boolean get() = !answering && waiting.isEmpty()
 
-    /** Takes a whole request. */
-    fun add(request: ReceivedRequest) {
-        waiting.addLast(Arrival(request, state.now()))
+    /** Takes a whole request, whose last bytes arrived [at] a time of the monotonic clock. */
+    fun add(request: ReceivedRequest, at: Duration) {
+        waiting.addLast(Arrival(request, at))
         if (waiting.size >= MOST_WAITING) channel.config().isAutoRead = false
         next()
     }
