Link each daemon to a few others; wake processes less often

Each daemon pinged all others in turn and passed news to random ones, so that in time all were linked to all, each link with a handshake and a timer every 100 ms.

Change: beyond 16 daemons, each pings, compares with and passes news to its neighbours on a ring only (those at distances 1, 2, 4 and so on, 18 of 430). Neighbours take turns, so that news reach each of them once. A request for a large item that is lost is repeated after 0.4 s instead of 0.6 s.

Not changed: questions about an outage of the store still go to any live process, since the planner has to hear of each that the store answers.

--- a/adapters/src/main/kotlin/boragering/adapters/PeerConnection.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/PeerConnection.kt
@@ -80,13 +80,14 @@
 
     private suspend fun watch() {
         while (true) {
-            delay(CHECK_INTERVAL)
             val silent = ports.clock.monotonic() - lastReceived
             if (silent > settings.silence) throw IOException("nothing received for ${settings.silence}")
+            // A fixed short interval would wake a process with many links all the time.
+            delay(settings.silence - silent + MARGIN)
         }
     }
 
     private companion object {
-        val CHECK_INTERVAL = 100.milliseconds
+        val MARGIN = 100.milliseconds
     }
 }
--- a/core/src/main/kotlin/boragering/core/membership/DaemonTable.kt
+++ b/core/src/main/kotlin/boragering/core/membership/DaemonTable.kt
@@ -41,6 +41,12 @@
     var live: PersistentList<Registration> = persistentListOf(self)
         private set
 
+    @Volatile
+    private var nearest = lazyOf(persistentListOf<Registration>())
+
+    /** The neighbours of this daemon among [live]. */
+    val neighbours: PersistentList<Registration> get() = nearest.value
+
     fun get(daemon: DaemonId): KnownDaemon? = lock.withLock { members[daemon] }
 
     /** Daemons that are not live but did not announce their end; they may be behind a partition. */
@@ -61,12 +67,16 @@
     /** Ends suspicions that were not refuted in time, and forgets daemons that ended long ago. */
     fun expire() {
         val isolated = isolation.isolated()
-        change {
-            if (wasIsolated && !isolated) restartSuspicions()
-            wasIsolated = isolated
-            val now = clock.monotonic()
-            members.replaceAll { _, member ->
-                if (ended(member, isolated)) member.copy(live = false, since = now) else member
+        // The list of live daemons is made anew only when something ends: most checks find nothing.
+        val due = lock.withLock { wasIsolated != isolated || members.values.any { ended(it, isolated) } }
+        if (due) {
+            change {
+                if (wasIsolated && !isolated) restartSuspicions()
+                wasIsolated = isolated
+                val now = clock.monotonic()
+                members.replaceAll { _, member ->
+                    if (ended(member, isolated)) member.copy(live = false, since = now) else member
+                }
             }
         }
         forgetOld()
@@ -100,8 +110,12 @@
             action()
             val all = members.values.filter { it.live }.map { it.record.registration } + self
             live = all.sortedBy { it.daemon.value }.toPersistentList()
-            before to live
+            val current = live
+            // Many daemons become known in quick succession at a start; their ring is of interest afterwards.
+            if (current != before) nearest = lazy { PeerRing.neighbours(self.daemon, current) }
+            before to current
         }
+        if (after == before) return
         val known = before.map { it.daemon }.toSet()
         val current = after.map { it.daemon }.toSet()
         (current - known).forEach { ports.timeline.record(TimelineEntry("daemon-live", "daemon $it is live")) }
--- a/core/src/main/kotlin/boragering/core/membership/Dissemination.kt
+++ b/core/src/main/kotlin/boragering/core/membership/Dissemination.kt
@@ -13,8 +13,9 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Passes items on between daemons: newer ones are sent to a few random peers for a few rounds (rumour mongering), and
- * the versions of all items are compared with one random peer at a time (anti-entropy), which repairs what was lost.
+ * Passes items on between daemons: newer ones are sent to a few neighbours in each of a few rounds (rumour mongering),
+ * and the versions of all items are compared with one neighbour at a time (anti-entropy), which repairs what was lost.
+ * Neighbours take turns in a random order.
  *
  * Small items are sent whole. Of larger ones only the version is announced, since a peer usually hears of a version
  * several times and should receive the content once.
@@ -29,6 +30,8 @@
     private val random = LockedRandom(random)
     private val lock = ReentrantLock()
     private val rumours = HashMap<String, Int>()
+    private val recipients = Rotation(this.random)
+    private val compared = Rotation(this.random)
     private val requests = ItemRequests(items, link, clock)
     private val exchange = ItemExchange(items, link, requests)
 
@@ -42,32 +45,30 @@
         launch { repeatEvery(COMPARISON_INTERVAL) { compare() } }
     }
 
-    /** One round of rumour mongering; each item known as new is sent to [FANOUT] random live peers. */
+    /** One round of rumour mongering; each item known as new is sent to [FANOUT] neighbours. */
     fun spread() {
         requests.retry()
-        val recipients = randomPeers(FANOUT)
-        if (recipients.isEmpty()) return
+        if (neighbours().isEmpty()) return
         val newer = lock.withLock {
             val keys = rumours.keys.toList()
             rumours.replaceAll { _, rounds -> rounds - 1 }
             rumours.values.removeIf { it <= 0 }
             keys
         }.mapNotNull(items::get)
-        recipients.forEach { exchange.offer(it, newer) }
+        if (newer.isEmpty()) return
+        recipients.next(neighbours(), FANOUT).forEach { exchange.offer(it, newer) }
     }
 
-    /** Starts a comparison of all versions with one random live peer. */
+    /** Starts a comparison of all versions with one neighbour. */
     fun compare() {
-        randomPeers(1).forEach { link.send(it, PeerMessage.DigestSummary(ItemDigest.summary(items.all("")))) }
+        val summary = PeerMessage.DigestSummary(ItemDigest.summary(items.all("")))
+        compared.next(neighbours(), 1).forEach { link.send(it, summary) }
     }
 
     /** Handles a message of another daemon; messages of other components are ignored. */
     fun handle(from: DaemonId, message: PeerMessage) = exchange.handle(from, message)
 
-    private fun randomPeers(count: Int): List<DaemonId> {
-        val others = peers.live.map { it.daemon }.filter { it != peers.self.daemon }
-        return others.shuffled(random).take(count)
-    }
+    private fun neighbours(): List<DaemonId> = peers.neighbours.map { it.daemon }
 
     private suspend fun repeatEvery(interval: Duration, action: () -> Unit) {
         while (true) {
@@ -78,7 +79,7 @@
 
     /** Constants of the protocol between daemons. */
     companion object {
-        /** Number of peers that get a newer item in each round. */
+        /** Number of neighbours that get a newer item in each round. */
         const val FANOUT = 3
 
         /** Rounds in which a daemon passes an item on after it learned of it. */
@@ -87,7 +88,7 @@
         /** Time between rounds. */
         val ROUND_INTERVAL = 200.milliseconds
 
-        /** Time between comparisons of versions with a random peer. */
+        /** Time between comparisons of versions with a neighbour. */
         val COMPARISON_INTERVAL = 2.seconds
     }
 }
--- a/core/src/main/kotlin/boragering/core/membership/FailureDetector.kt
+++ b/core/src/main/kotlin/boragering/core/membership/FailureDetector.kt
@@ -16,8 +16,8 @@
 
 /** Whom the failure detector examines and what it tells of its findings. */
 internal interface Suspects {
-    /** The other live daemons. */
-    fun others(): List<DaemonId>
+    /** The live daemons that this one examines. */
+    fun neighbours(): List<DaemonId>
 
     /** The heartbeat that this daemon states in its answers. */
     fun ownHeartbeat(): Long
@@ -30,8 +30,8 @@
 }
 
 /**
- * Pings one other daemon every second, in the order of a random permutation, so that each is pinged in bounded time and
- * the cost does not depend on their number.
+ * Pings one neighbour every second, in the order of a random permutation, so that each daemon is pinged in bounded time
+ * and the cost does not depend on their number.
  */
 internal class FailureDetector(
     private val self: DaemonId,
@@ -45,7 +45,7 @@
     private var lastSequence = 0L
     private val probes = HashMap<Long, Probe>()
     private val relays = HashMap<Long, Relay>()
-    private val order = ArrayDeque<DaemonId>()
+    private val rotation = Rotation(random)
 
     /** Pings until cancelled. */
     suspend fun run(): Unit = coroutineScope {
@@ -66,14 +66,7 @@
         }
     }
 
-    private fun nextTarget(): DaemonId? {
-        val others = suspects.others().toSet()
-        return lock.withLock {
-            order.retainAll(others)
-            if (order.isEmpty()) order += others.shuffled(random)
-            order.removeFirstOrNull()
-        }
-    }
+    private fun nextTarget(): DaemonId? = rotation.next(suspects.neighbours(), 1).firstOrNull()
 
     private suspend fun probe(target: DaemonId) {
         val pausesBefore = pauses.pauses
@@ -90,7 +83,7 @@
     }
 
     private fun ask(sequence: Long, target: DaemonId) {
-        val helpers = (suspects.others() - target).shuffled(random).take(HELPERS)
+        val helpers = (suspects.neighbours() - target).shuffled(random).take(HELPERS)
         helpers.forEach { link.send(it, PeerMessage.PingRequest(sequence, target)) }
     }
 
--- a/core/src/main/kotlin/boragering/core/membership/ItemRequests.kt
+++ b/core/src/main/kotlin/boragering/core/membership/ItemRequests.kt
@@ -72,7 +72,7 @@
 
     private companion object {
         /** Time after which an item is asked of another peer; rumours of it have arrived from several by then. */
-        val REQUEST_TIMEOUT = 600.milliseconds
+        val REQUEST_TIMEOUT = 400.milliseconds
         const val REQUESTS_PER_TIMEOUT = 50
         const val MAXIMUM_OTHERS = 3
 
--- a/core/src/main/kotlin/boragering/core/membership/Membership.kt
+++ b/core/src/main/kotlin/boragering/core/membership/Membership.kt
@@ -49,6 +49,8 @@
 
     override val live: PersistentList<Registration> get() = table.live
 
+    override val neighbours: PersistentList<Registration> get() = table.neighbours
+
     init {
         items.listen(Registration.KEY_PREFIX) { item -> DaemonRecord.of(item)?.let(::learn) }
         ports.pauses.listen(::resume)
@@ -109,7 +111,7 @@
     }
 
     private inner class Findings : Suspects {
-        override fun others(): List<DaemonId> = live.map { it.daemon } - self.daemon
+        override fun neighbours(): List<DaemonId> = table.neighbours.map { it.daemon }
 
         override fun ownHeartbeat(): Long = own.heartbeat
 
--- a/core/src/main/kotlin/boragering/core/membership/Registration.kt
+++ b/core/src/main/kotlin/boragering/core/membership/Registration.kt
@@ -34,6 +34,9 @@
 
     /** All live daemons including [self], in order of their ids. */
     val live: PersistentList<Registration>
+
+    /** The few live daemons to which this one keeps links; all others in a small deployment. */
+    val neighbours: PersistentList<Registration> get() = PeerRing.neighbours(self.daemon, live)
 }
 
 /** The [count] live daemons that rank highest for [key]; the first one is the owner. */
--- a/core/src/test/kotlin/boragering/core/membership/MembershipTest.kt
+++ b/core/src/test/kotlin/boragering/core/membership/MembershipTest.kt
@@ -52,6 +52,18 @@
 }
 
 class MembershipTest : DescribeSpec({
+    describe("a daemon among many") {
+        it("sends to few others (guards against links from all to all)") {
+            runTest {
+                val cluster = Cluster(this, 60).start()
+                cluster.network.sent.clear()
+                advanceTimeBy(120_000)
+                val recipients = cluster.network.sent.groupBy({ it.from }, { it.to }).values.map { it.toSet().size }
+                recipients.max() shouldBeLessThan 16
+            }
+        }
+    }
+
     describe("daemons that start") {
         it("know each other from the registrations") {
             runTest { Cluster(this, 10).start().allLive() shouldBe true }
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayLoop.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayLoop.kt
@@ -33,7 +33,7 @@
     }
 
     /** Runs [action] on the loop after [delay]. */
-    internal fun after(delay: Duration, action: () -> Unit) {
+    fun after(delay: Duration, action: () -> Unit) {
         eventLoop.schedule(action, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
