State a registration once at the start of many daemons

Cause: a daemon took the registrations that it read from the store as records of heartbeat 0, below the heartbeat 1 that each daemon states of itself. Each record was so taken twice, and passed on twice. 60 daemons that start sent 24 messages with items each within 15 s, twice what it takes to pass everything on once.

--- a/core/src/main/kotlin/boragering/core/membership/Membership.kt
+++ b/core/src/main/kotlin/boragering/core/membership/Membership.kt
@@ -106,7 +106,7 @@
 
     private suspend fun take(registrations: List<Registration>) {
         registrations.filter { it.daemon != self.daemon }
-            .forEach { items.accept(DaemonRecord(it, 0, DaemonState.ALIVE).toItem()) }
+            .forEach { items.accept(DaemonRecord(it, OwnRecord.FIRST_HEARTBEAT, DaemonState.ALIVE).toItem()) }
         if (self !in registrations) lease.lost()
     }
 
--- a/core/src/main/kotlin/boragering/core/membership/OwnRecord.kt
+++ b/core/src/main/kotlin/boragering/core/membership/OwnRecord.kt
@@ -6,7 +6,7 @@
 /** What this daemon states about itself. */
 internal class OwnRecord(private val self: Registration, private val items: ItemReplica) {
     private val lock = ReentrantLock()
-    private var record = DaemonRecord(self, 1, DaemonState.ALIVE)
+    private var record = DaemonRecord(self, FIRST_HEARTBEAT, DaemonState.ALIVE)
 
     /** The heartbeat last stated. */
     val heartbeat: Long get() = lock.withLock { record.heartbeat }
@@ -38,4 +38,9 @@
         }
         publish()
     }
+
+    companion object {
+        /** The heartbeat of a daemon that has just started; one that is registered has stated it. */
+        const val FIRST_HEARTBEAT = 1L
+    }
 }
--- a/core/src/test/kotlin/boragering/core/membership/MembershipTest.kt
+++ b/core/src/test/kotlin/boragering/core/membership/MembershipTest.kt
@@ -65,6 +65,15 @@
     }
 
     describe("daemons that start") {
+        it("state each registration once (guards against starts whose cost grows with the square of their number)") {
+            runTest {
+                val cluster = Cluster(this, 60).start()
+                val stated = cluster.network.sent.count { it.kind == PeerMessageKind.ITEMS }
+                // As many messages as it takes to pass everything on twice.
+                stated / 60 shouldBeLessThan 2 * Dissemination.ROUNDS * Dissemination.FANOUT
+            }
+        }
+
         it("know each other from the registrations") {
             runTest { Cluster(this, 10).start().allLive() shouldBe true }
         }
