Build the links, the membership and the dissemination of a daemon in one place

No change of behaviour: the daemon's inbox passed echoes and summaries to their components and all else to the dissemination, which ignores them.

--- /dev/null
+++ b/adapters/src/main/kotlin/boragering/adapters/PeerStack.kt
@@ -0,0 +1,94 @@
+package boragering.adapters
+
+import boragering.core.Clock
+import boragering.core.DaemonId
+import boragering.core.Store
+import boragering.core.membership.Dissemination
+import boragering.core.membership.HandshakeIdentity
+import boragering.core.membership.ItemReplica
+import boragering.core.membership.Membership
+import boragering.core.membership.MembershipPorts
+import boragering.core.membership.PauseDetector
+import boragering.core.membership.PeerEnvelope
+import boragering.core.membership.PeerMessage
+import boragering.core.membership.Registration
+import boragering.core.timeline.HybridClock
+import boragering.core.timeline.HybridTime
+import boragering.core.timeline.Timeline
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlin.random.Random
+
+/**
+ * Who this daemon is to the others, where it listens for them, and how it finds the first ones.
+ *
+ * @property secret what all daemons share and prove to each other.
+ * @property seeds addresses (`host:port`) of other daemons, for a start without the store.
+ */
+class PeerIdentity(
+    val registration: Registration,
+    val listen: PeerLinkSettings,
+    val secret: ByteArray,
+    val seeds: List<String>,
+)
+
+/** What a [PeerStack] uses of its surroundings. */
+class PeerStackPorts(
+    val store: Store,
+    val clock: Clock,
+    val hybridClock: HybridClock,
+    val timeline: Timeline,
+    val random: Random,
+    val registry: MetricRegistry,
+)
+
+/**
+ * One daemon's part in what daemons do together: its links to others, its view of which ones live, and the items that
+ * they pass on. Each message is also given to [onMessage], on a thread of the link.
+ */
+class PeerStack(
+    identity: PeerIdentity,
+    private val ports: PeerStackPorts,
+    private val onMessage: (DaemonId, PeerMessage) -> Unit,
+) {
+    /** The items that daemons pass on, as this one knows them. */
+    val items = ItemReplica(ports.clock)
+
+    /** The links to other daemons. */
+    val link = SocketPeerLink(
+        identity.listen,
+        HandshakeIdentity(identity.registration.daemon, identity.secret),
+        PeerLinkPorts(ports.clock, ports.random, PeerCounters(ports.registry)),
+        Inbox(),
+    )
+
+    /** The daemons that live. */
+    val membership = Membership(
+        identity.registration,
+        items,
+        MembershipPorts(ports.store, link, link, ports.clock, ports.timeline, PauseDetector(ports.clock)),
+        identity.seeds,
+        ports.random,
+    )
+    private val dissemination = Dissemination(items, membership, link, ports.clock, ports.random)
+
+    /** Starts to listen, and runs all loops in [scope]. */
+    suspend fun start(scope: CoroutineScope) {
+        link.start()
+        scope.launch { membership.run() }
+        scope.launch { dissemination.run() }
+    }
+
+    private inner class Inbox : PeerLinkHandler {
+        override fun address(daemon: DaemonId): String? = membership.address(daemon)
+
+        override fun stamp(): HybridTime = ports.hybridClock.issue()
+
+        override fun receive(from: DaemonId, envelope: PeerEnvelope) {
+            ports.hybridClock.merge(envelope.stamp)
+            membership.handle(from, envelope.message)
+            dissemination.handle(from, envelope.message)
+            onMessage(from, envelope.message)
+        }
+    }
+}
--- a/adapters/src/test/kotlin/boragering/adapters/PeerStackTest.kt
+++ b/adapters/src/test/kotlin/boragering/adapters/PeerStackTest.kt
@@ -7,24 +7,16 @@
 import boragering.core.Store
 import boragering.core.StoreFailure
 import boragering.core.StoreRevision
-import boragering.core.membership.Dissemination
-import boragering.core.membership.HandshakeIdentity
 import boragering.core.membership.Item
-import boragering.core.membership.ItemReplica
-import boragering.core.membership.Membership
-import boragering.core.membership.MembershipPorts
-import boragering.core.membership.PauseDetector
-import boragering.core.membership.PeerEnvelope
-import boragering.core.membership.PeerTraffic
 import boragering.core.membership.Registration
-import boragering.core.timeline.HybridTime
+import boragering.core.timeline.HybridClock
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.cancel
-import kotlinx.coroutines.launch
+import java.net.ServerSocket
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -51,43 +43,30 @@
     override suspend fun awaitChange(prefix: String, after: StoreRevision, timeout: Duration) = down
 }
 
-/** Membership and dissemination of one daemon over sockets, wired as in the daemon. */
-private class Stack(name: String) : PeerLinkHandler, AutoCloseable {
+/** One daemon's part in what daemons do together, over sockets. */
+private class Node(name: String, seeds: List<String>) : AutoCloseable {
     private val id = DaemonId(name)
     private val scope = CoroutineScope(Dispatchers.Default)
-    private val random = Random(name.hashCode())
-    private val ports = PeerLinkPorts(TestClock, random, PeerTraffic.None)
-    private val link = SocketPeerLink(PeerLinkSettings("127.0.0.1", 0), HandshakeIdentity(id, SECRET), ports, this)
-    val items = ItemReplica(TestClock)
-    private lateinit var membership: Membership
-    private lateinit var dissemination: Dissemination
-
-    val live get() = membership.live.map { it.daemon.value }
-
-    /** Starts with [seeds] and returns the address. */
-    suspend fun start(seeds: List<String>): String {
-        val address = "127.0.0.1:${link.start()}"
-        val self = Registration(id, address, "", "", AvailabilityZone("zone"), "region")
-        val ports = MembershipPorts(DownStore, link, link, TestClock, { }, PauseDetector(TestClock))
-        membership = Membership(self, items, ports, seeds, random)
-        dissemination = Dissemination(items, membership, link, TestClock, random)
-        scope.launch { membership.run() }
-        scope.launch { dissemination.run() }
-        return address
-    }
-
-    override fun address(daemon: DaemonId) = membership.address(daemon)
-
-    override fun stamp() = HybridTime(0, 0, id)
-
-    override fun receive(from: DaemonId, envelope: PeerEnvelope) {
-        membership.handle(from, envelope.message)
-        dissemination.handle(from, envelope.message)
-    }
+    private val port = ServerSocket(0).use { it.localPort }
+    private val identity = PeerIdentity(
+        Registration(id, "127.0.0.1:$port", "", "", AvailabilityZone("zone"), "region"),
+        PeerLinkSettings("127.0.0.1", port),
+        SECRET,
+        seeds,
+    )
+    private val ports =
+        PeerStackPorts(DownStore, TestClock, HybridClock(id, TestClock), { }, Random(name.hashCode()), MetricRegistry())
+    private val stack = PeerStack(identity, ports) { _, _ -> }
+
+    val address = "127.0.0.1:$port"
+    val items = stack.items
+    val live get() = stack.membership.live.map { it.daemon.value }
+
+    suspend fun start() = stack.start(scope)
 
     override fun close() {
         scope.cancel()
-        link.close()
+        stack.link.close()
     }
 }
 
@@ -95,18 +74,18 @@
     describe("three daemons over loopback without the store") {
         it("find each other by one seed address, pass on a large item, and notice the end of one") {
             val names = listOf("a", "b", "c")
-            val stacks = names.map(::Stack)
+            val first = Node(names.first(), emptyList())
+            val nodes = listOf(first) + names.drop(1).map { Node(it, listOf(first.address)) }
             try {
-                val seed = stacks.first().start(emptyList())
-                stacks.drop(1).forEach { it.start(listOf(seed)) }
-                eventually(20.seconds) { stacks.forEach { it.live shouldBe names } }
+                nodes.forEach { it.start() }
+                eventually(20.seconds) { nodes.forEach { it.live shouldBe names } }
                 val item = Item("key", 1, "x".repeat(1_000_000))
-                stacks[1].items.accept(item)
-                eventually(20.seconds) { stacks.forEach { it.items.get("key") shouldBe item } }
-                stacks[2].close()
-                eventually(30.seconds) { stacks.take(2).forEach { it.live shouldBe names.take(2) } }
+                nodes[1].items.accept(item)
+                eventually(20.seconds) { nodes.forEach { it.items.get("key") shouldBe item } }
+                nodes[2].close()
+                eventually(30.seconds) { nodes.take(2).forEach { it.live shouldBe names.take(2) } }
             } finally {
-                stacks.forEach { it.close() }
+                nodes.forEach { it.close() }
             }
         }
     }
--- a/daemon/src/main/kotlin/boragering/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/Daemon.kt
@@ -6,11 +6,10 @@
 import boragering.adapters.HttpTargetCalls
 import boragering.adapters.HttpTargets
 import boragering.adapters.MetricRegistry
-import boragering.adapters.PeerCounters
-import boragering.adapters.PeerLinkHandler
-import boragering.adapters.PeerLinkPorts
+import boragering.adapters.PeerIdentity
 import boragering.adapters.PeerLinkSettings
-import boragering.adapters.SocketPeerLink
+import boragering.adapters.PeerStack
+import boragering.adapters.PeerStackPorts
 import boragering.adapters.SystemClock
 import boragering.core.DaemonId
 import boragering.core.RequestId
@@ -25,13 +24,6 @@
 import boragering.core.groups.GroupHealth
 import boragering.core.groups.HealthSettings
 import boragering.core.groups.PlanningSettings
-import boragering.core.membership.Dissemination
-import boragering.core.membership.HandshakeIdentity
-import boragering.core.membership.ItemReplica
-import boragering.core.membership.Membership
-import boragering.core.membership.MembershipPorts
-import boragering.core.membership.PauseDetector
-import boragering.core.membership.PeerEnvelope
 import boragering.core.membership.PeerMessage
 import boragering.core.membership.Registration
 import boragering.core.requests.Admission
@@ -39,7 +31,6 @@
 import boragering.core.requests.RequestExecutor
 import boragering.core.requests.RequestPorts
 import boragering.core.timeline.HybridClock
-import boragering.core.timeline.HybridTime
 import boragering.core.timeline.TimelineBuffer
 import boragering.core.timeline.TimelineEntry
 import kotlinx.coroutines.CoroutineScope
@@ -71,23 +62,20 @@
     private val timeline = LoggedTimeline(events)
     private val store =
         ObservedStore(HttpStore(client, settings.platform.store, settings.platform.timeout), registry)
-    private val items = ItemReplica(clock)
-    private val link =
-        SocketPeerLink(
-            PeerLinkSettings(settings.listen.peers.host, settings.listen.peers.port),
-            HandshakeIdentity(self.daemon, secrets.peers.toByteArray()),
-            PeerLinkPorts(clock, random, PeerCounters(registry)),
-            Inbox(),
-        )
-    private val membership =
-        Membership(
-            self,
-            items,
-            MembershipPorts(store, link, link, clock, timeline, PauseDetector(clock)),
-            settings.seeds.map { it.toString() },
-            random,
+    private val peers: PeerStack =
+        PeerStack(
+            PeerIdentity(
+                self,
+                PeerLinkSettings(settings.listen.peers.host, settings.listen.peers.port),
+                secrets.peers.toByteArray(),
+                settings.seeds.map { it.toString() },
+            ),
+            PeerStackPorts(store, clock, hybridClock, timeline, random, registry),
+            ::receive,
         )
-    private val dissemination = Dissemination(items, membership, link, clock, random)
+    private val items = peers.items
+    private val link = peers.link
+    private val membership = peers.membership
     private val catalogue = CatalogueReplica(store, items, membership, timeline, random)
     private val divisions = DivisionReplica(items, timeline)
     private val divisionLoader = DivisionLoader(store, items)
@@ -153,11 +141,9 @@
 
     /** Starts the loops and the servers. */
     suspend fun start() {
-        link.start()
+        peers.start(scope)
         addGauges()
         listOf<suspend () -> Unit>(
-            { membership.run() },
-            { dissemination.run() },
             { catalogue.run() },
             { divisionLoader.run() },
             { controller.run() },
@@ -203,20 +189,11 @@
             ),
         )
 
-    private inner class Inbox : PeerLinkHandler {
-        override fun address(daemon: DaemonId): String? = membership.address(daemon)
-
-        override fun stamp(): HybridTime = hybridClock.issue()
-
-        override fun receive(from: DaemonId, envelope: PeerEnvelope) {
-            hybridClock.merge(envelope.stamp)
-            val message = envelope.message
-            membership.handle(from, message)
-            when (message) {
-                is PeerMessage.Echo -> echoes.received(from, message)
-                is PeerMessage.GroupSummaries -> health.accept(from, message)
-                else -> dissemination.handle(from, message)
-            }
+    private fun receive(from: DaemonId, message: PeerMessage) {
+        when (message) {
+            is PeerMessage.Echo -> echoes.received(from, message)
+            is PeerMessage.GroupSummaries -> health.accept(from, message)
+            else -> Unit
         }
     }
 
