Log the parts of lost prompts and the crashes of targets

The lines of a failed send named the target only, so the logs could not tell a target that ends from a connection that is reset, nor show what the lost requests had in common. A lost connection is now followed by one check whether the target refuses connections; if so, one line 'target-crashed' and a counter record it with the shared parts of the prompts that were lost. 'attempt-failed' names the parts as well. The handling of suspicions moves to a class of its own.

No decision changes.

--- a/gateway/src/main/kotlin/boragering/gateway/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ConnectionPool.kt
@@ -4,10 +4,14 @@
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandler
+import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
+import java.net.ConnectException
 import java.net.InetSocketAddress
 import kotlin.time.Duration
 
@@ -76,25 +80,36 @@
             ?.also { idleConnections.removeLast() }
     }
 
+    /**
+     * Opens a connection and closes it, and passes to [onResult] whether the target's host refused it. A host that does
+     * not answer refuses nothing.
+     */
+    fun checkRefusal(onResult: (Boolean) -> Unit) = open(ChannelInboundHandlerAdapter()) { channel, failure ->
+        channel.close()
+        onResult(failure is ConnectException && failure !is ConnectTimeoutException)
+    }
+
     private fun connect(handle: CallHandle) {
         connecting += 1
+        open(initializer(TargetResponseDecoder())) { channel, failure ->
+            connecting -= 1
+            if (failure == null) {
+                handle.begin(channel.pipeline().get(TargetConnection::class.java))
+            } else {
+                handle.fail("no connection to $address: ${failure.message}")
+            }
+        }
+    }
+
+    private fun open(handler: ChannelHandler, onResult: (Channel, Throwable?) -> Unit) {
         context.onConnect()
-        val decoder = TargetResponseDecoder()
         Bootstrap().group(context.loop.group)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, context.connectTimeout.inWholeMilliseconds.toInt())
             .option(ChannelOption.TCP_NODELAY, true)
-            .handler(initializer(decoder))
+            .handler(handler)
             .connect(InetSocketAddress(address.host, address.port))
-            .addListener { future ->
-                connecting -= 1
-                val channel = (future as ChannelFuture).channel()
-                if (future.isSuccess) {
-                    handle.begin(channel.pipeline().get(TargetConnection::class.java))
-                } else {
-                    handle.fail("no connection to $address: ${future.cause().message}")
-                }
-            }
+            .addListener { future -> onResult((future as ChannelFuture).channel(), future.cause()) }
     }
 
     private fun initializer(decoder: TargetResponseDecoder): ChannelInitializer<Channel> =
--- a/gateway/src/main/kotlin/boragering/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Exchange.kt
@@ -48,7 +48,7 @@
 
     /** Sends the request to another target, if possible, when the current one has been silent for too long. */
     private fun checkSilence(current: TargetAttempt, now: Duration) {
-        if (current.usage.stalled(now, SilenceTimeout.STALL_TIMEOUT)) state.suspect(current)
+        if (current.usage.stalled(now, SilenceTimeout.STALL_TIMEOUT)) state.suspicions.suspect(current)
         val silence = TargetSilence(
             streaming = current.streaming,
             suspected = current.usage.load.suspected(now),
@@ -56,7 +56,7 @@
         )
         val repeatable = routed.route.repeatability.repeatable
         if (!repeatable || now - current.lastProgressAt <= SilenceTimeout.of(routed.route, silence)) return
-        if (!silence.recentlyActive) state.suspect(current)
+        if (!silence.recentlyActive) state.suspicions.suspect(current)
         if (!dispatcher.tryAcquireRetry(mayHaveRun = true, progress.resumable, now)) return
         log.attemptFailed(current, "no bytes for ${now - current.lastProgressAt}", mayHaveRun = true, retrying = true)
         dispatcher.cancel()
@@ -116,7 +116,7 @@
 
         override fun onNotExecuted(attempt: TargetAttempt, head: ResponseHead) {
             if (isStale(attempt)) return
-            if (head.status == MISDIRECTED_REQUEST) state.onMisdirected(attempt)
+            if (head.status == MISDIRECTED_REQUEST) state.suspicions.onMisdirected(attempt)
             onAttemptFailed("the target did not run it: status ${head.status}", mayHaveRun = false)
         }
 
@@ -124,9 +124,10 @@
             if (isStale(attempt)) return
             if (failure is CallFailure.NotSent) {
                 dispatcher.onNotSent()
-                state.suspect(attempt)
+                state.suspicions.suspect(attempt)
             }
-            onAttemptFailed(failure.reason, mayHaveRun = failure is CallFailure.Lost)
+            if (failure is CallFailure.Disconnected) state.crashDetector.onDisconnected(attempt)
+            onAttemptFailed(failure.reason, mayHaveRun = failure !is CallFailure.NotSent)
         }
 
         private fun isStale(attempt: TargetAttempt): Boolean = finished || attempt !== dispatcher.attempt
--- a/gateway/src/main/kotlin/boragering/gateway/ExchangeLog.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ExchangeLog.kt
@@ -30,6 +30,7 @@
                 "route" to route,
                 "target" to attempt?.target?.head,
                 "group" to attempt?.target?.group,
+                "parts" to routed.promptParts.takeIf { it.isNotEmpty() },
                 "reason" to reason,
                 "mayHaveRun" to mayHaveRun,
                 "sentAgain" to retrying,
--- a/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
@@ -61,7 +61,7 @@
     fun updateInstances(list: InstanceList) = state.updateInstances(list)
 
     /** Handles the report of another gateway that the target with the head instance [head] seems to have failed. */
-    fun onPeerSuspicion(head: InstanceStart) = state.onPeerSuspicion(head)
+    fun onPeerSuspicion(head: InstanceStart) = state.suspicions.onPeerSuspicion(head)
 
     /**
      * Stops gracefully within [limit]. The gateway reports that it is not ready, serves requests that arrive until the
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayMetrics.kt
@@ -16,6 +16,11 @@
     private val firstByte =
         registry.durationHistogram("boragering_gateway_first_byte_seconds", "time until an answer began")
 
+    private val crashes =
+        registry.counter { name("boragering_gateway_target_crashes").help("targets that ended during a request") }
+
+    internal fun recordTargetCrash() = crashes.inc()
+
     internal fun recordResponse(route: String, status: Int, origin: String, after: Duration) {
         answers.labelValues(route, status.toString(), origin).inc()
         latency.labelValues(route).observe(after.toDouble(DurationUnit.SECONDS))
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
@@ -10,6 +10,7 @@
 import boragering.fleet.ServiceName
 import boragering.fleet.ServiceProfile
 import boragering.fleet.TargetChoice
+import boragering.fleet.TargetCrash
 import boragering.fleet.TargetIndex
 import boragering.fleet.TargetTable
 import kotlin.random.Random
@@ -67,6 +68,8 @@
     val usages = TargetUsages(pools, headerNames.requestId)
     val targetChoice = TargetChoice(settings.availabilityZone, ports.random)
     val exchanges = LinkedHashSet<Exchange>()
+    val crashDetector = CrashDetector(::onCrash)
+    val suspicions = TargetSuspicions(this)
 
     /** The routes of the current configuration; `null` before the first one is known. */
     var routes: RouteTable? = null
@@ -109,28 +112,14 @@
         refresh()
     }
 
-    /** Marks the target of [attempt] as suspected, and reports it to other gateways if it was not suspected before. */
-    fun suspect(attempt: TargetAttempt) {
-        if (!attempt.usage.markSuspected(now())) return
-        log.event("target-suspected", "target" to attempt.target.head, "group" to attempt.target.group)
-        if (attempt.target.group != null) ports.onSuspicion(attempt.target.head)
-    }
-
-    /** Handles a 421 response: another instance has the address of the target, or the target's group has ended. */
-    fun onMisdirected(attempt: TargetAttempt) {
-        attempt.usage.markAway(now())
-        log.event("target-away", "target" to attempt.target.head, "group" to attempt.target.group)
-        if (attempt.target.group != null) ports.onSuspicion(attempt.target.head)
-    }
-
-    /**
-     * Marks the target with the head instance [head] as suspected because another gateway does, unless this gateway has
-     * received data from it just now. A gateway without streams from a target cannot detect its failure itself.
-     */
-    fun onPeerSuspicion(head: InstanceStart) {
-        val target = targets.all.firstOrNull { it.head == head } ?: return
-        val usage = usages.of(target)
-        if (!usage.recentlyActive(now())) usage.markSuspected(now())
+    private fun onCrash(crash: TargetCrash) {
+        ports.metrics.recordTargetCrash()
+        log.event(
+            "target-crashed",
+            "target" to crash.target,
+            "requests" to crash.lost.size,
+            "parts" to crash.lost.flatMapTo(LinkedHashSet()) { it.parts }.take(MAX_LOGGED_PARTS),
+        )
     }
 
     private fun refresh() {
@@ -139,4 +128,8 @@
         usages.retain(targets)
         if (routes != null && starting) endStartup()
     }
+
+    private companion object {
+        const val MAX_LOGGED_PARTS = 24
+    }
 }
--- a/gateway/src/main/kotlin/boragering/gateway/HeaderNames.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/HeaderNames.kt
@@ -11,6 +11,7 @@
  * @property priority priority of the request at the engine; 0 is the most urgent.
  * @property lastEventId id of the last event of a stream that the caller has received.
  * @property model name of the model that the request asks for.
+ * @property promptParts the parts of the prompt in order, as `ID:TOKENS` entries separated by commas.
  * @property notExecuted present in a response if the request was not run and will not be.
  * @property serverLoad numbers of running requests, waiting requests and slots of an instance, separated by commas.
  * @property responseSignature identifies a response as written by an instance.
@@ -25,6 +26,7 @@
     val priority: String,
     val lastEventId: String,
     val model: String,
+    val promptParts: String,
     val notExecuted: String,
     val serverLoad: String,
     val responseSignature: String,
--- a/gateway/src/main/kotlin/boragering/gateway/HttpCallClient.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/HttpCallClient.kt
@@ -89,7 +89,7 @@
         override fun onFailure(failure: CallFailure) {
             val reason = when (failure) {
                 is CallFailure.NotSent -> HttpFailure.NotSent(failure.reason)
-                is CallFailure.Lost -> HttpFailure.Unanswered(failure.reason)
+                is CallFailure.Lost, is CallFailure.Disconnected -> HttpFailure.Unanswered(failure.reason)
             }
             answer.complete(reason.left())
         }
--- a/gateway/src/main/kotlin/boragering/gateway/RequestRouter.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/RequestRouter.kt
@@ -10,10 +10,12 @@
 import boragering.core.RequestId
 import boragering.fleet.ModelName
 import boragering.fleet.Organisation
+import boragering.fleet.PromptPart
 import boragering.fleet.Route
 import boragering.fleet.RouteTable
 import boragering.fleet.ServiceProfile
 import io.netty.handler.codec.http.HttpHeaderNames
+import kotlinx.collections.immutable.PersistentSet
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -23,6 +25,7 @@
  *
  * @property deadline the earlier of the deadlines of the caller and the route, by the monotonic clock.
  * @property callerDeadline the deadline of the caller, by the monotonic clock.
+ * @property promptParts the parts of the prompt that other requests may share.
  * @property priority priority at the engine; 0 is the most urgent.
  */
 internal data class RoutedRequest(
@@ -36,6 +39,7 @@
     val callerDeadline: Duration,
     val priority: Int,
     val model: ModelName?,
+    val promptParts: PersistentSet<PromptPart>,
     val lastEventId: Long?,
 )
 
@@ -66,6 +70,7 @@
             callerDeadline = now + timeLeft,
             priority = organisation?.priority ?: route.priority,
             model = headers.get(headerNames.model)?.let { ModelName(it.trim()) },
+            promptParts = PromptPart.shared(headers.getAll(headerNames.promptParts)),
             lastEventId = headers.get(headerNames.lastEventId)?.trim()?.toLongOrNull(),
         )
     }
--- a/gateway/src/main/kotlin/boragering/gateway/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetAttempt.kt
@@ -1,12 +1,14 @@
 package boragering.gateway
 
 import boragering.fleet.EventParser
+import boragering.fleet.PromptPart
 import boragering.fleet.Target
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpVersion
+import kotlinx.collections.immutable.PersistentSet
 import java.io.ByteArrayOutputStream
 import java.util.Locale
 import kotlin.time.Duration
@@ -55,6 +57,9 @@
     var streaming = false
         private set
 
+    /** The parts of the request's prompt that other requests may share. */
+    val promptParts: PersistentSet<PromptPart> get() = routed.promptParts
+
     override val requestId: String get() = routed.id.value
 
     override val maxIdleTime: Duration? = MAX_IDLE_TIME.takeIf { !routed.route.repeatability.repeatable }
@@ -101,7 +106,7 @@
         when {
             notExecuted -> listener.onNotExecuted(this, current)
             stream?.broken == true ->
-                listener.onAttemptFailure(this, CallFailure.Lost("the stream ended inside an event"))
+                listener.onAttemptFailure(this, brokenStream(current))
             stream != null -> listener.onStreamEnd(this, current)
             hasContentEncoding(current) ->
                 listener.onAttemptFailure(this, CallFailure.Lost("the response has an unrequested encoding"))
@@ -111,6 +116,12 @@
 
     override fun onFailure(failure: CallFailure) = listener.onAttemptFailure(this, failure)
 
+    private fun brokenStream(head: ResponseHead): CallFailure {
+        val reason = "the stream ended inside an event"
+        val delimited = HopByHop.hasDelimitedBody(head.headers)
+        return if (delimited) CallFailure.Lost(reason) else CallFailure.Disconnected(reason)
+    }
+
     private fun recordProgress() {
         lastProgressAt = state.now()
         usage.recordActivity(lastProgressAt)
--- a/gateway/src/main/kotlin/boragering/gateway/TargetCall.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetCall.kt
@@ -13,6 +13,9 @@
 
     /** The request was written, at least in part, and may have run. */
     data class Lost(override val reason: String) : CallFailure
+
+    /** As [Lost], because the connection ended. The target may have ended with it. */
+    data class Disconnected(override val reason: String) : CallFailure
 }
 
 /**
--- a/gateway/src/main/kotlin/boragering/gateway/TargetConnection.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetConnection.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.io.IOException
 import kotlin.time.Duration
 
 /** One connection to a target, which carries one call at a time. Runs on the event loop. */
@@ -57,11 +58,12 @@
     @Deprecated("Deprecated in Netty, which still calls it")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         failed = true
-        fail("${cause.javaClass.simpleName}: ${cause.message}")
+        val reason = "${cause.javaClass.simpleName}: ${cause.message}"
+        fail(if (cause is IOException) CallFailure.Disconnected(reason) else CallFailure.Lost(reason))
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        fail("the connection closed before the response was complete")
+        fail(CallFailure.Disconnected("the connection closed before the response was complete"))
         pool.onClosed(this)
     }
 
@@ -73,8 +75,8 @@
             return
         }
         when (val classification = classifier.classify(response, current.requestId)) {
-            HeadClassification.Skipped -> skipped.onHead()?.let(::fail)
-            is HeadClassification.Unusable -> fail(classification.reason)
+            HeadClassification.Skipped -> skipped.onHead()?.let { fail(CallFailure.Lost(it)) }
+            is HeadClassification.Unusable -> fail(CallFailure.Lost(classification.reason))
             HeadClassification.Matching -> {
                 classifier.readConnectionHeaders(response)
                 val status = response.status()
@@ -86,15 +88,16 @@
     private fun onContent(content: HttpContent) {
         val current = call ?: return
         when {
-            content.decoderResult().isFailure -> fail("the body cannot be read: ${content.decoderResult().cause()}")
-            skipped.inProgress -> skipped.onContent(content)?.let(::fail)
+            content.decoderResult().isFailure ->
+                fail(CallFailure.Lost("the body cannot be read: ${content.decoderResult().cause()}"))
+            skipped.inProgress -> skipped.onContent(content)?.let { fail(CallFailure.Lost(it)) }
             else -> forward(current, content)
         }
     }
 
     private fun forward(current: TargetCall, content: HttpContent) {
         if (content.content().isReadable) current.onContent(ByteBufUtil.getBytes(content.content()))
-        if (call === current) current.limitExceeded?.let { return fail(it) }
+        if (call === current) current.limitExceeded?.let { return fail(CallFailure.Lost(it)) }
         // The decoder also ends a body without a length when the connection is reset, which is a failure.
         if (content !is LastHttpContent || call !== current || failed) return
         call = null
@@ -103,10 +106,10 @@
         current.onEnd()
     }
 
-    private fun fail(reason: String) {
+    private fun fail(failure: CallFailure) {
         val current = call
         call = null
         channel.close()
-        current?.onFailure(CallFailure.Lost(reason))
+        current?.onFailure(failure)
     }
 }
--- a/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
@@ -40,6 +40,7 @@
     priority = "Urgency",
     lastEventId = "Last-Event-Id",
     model = "Model",
+    promptParts = "Prompt-Parts",
     notExecuted = "Not-Run",
     serverLoad = "Load",
     responseSignature = "Signature",
