--- a/gateway/src/test/kotlin/boragering/gateway/ScriptedTarget.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/ScriptedTarget.kt
@@ -49,7 +49,7 @@
 }
 
 /** What a [ScriptedTarget] does with one request. */
-internal class Script(val request: ReadMessage, private val socket: Socket) {
+internal class Script(val request: ReadMessage, private val socket: Socket, private val target: ScriptedTarget) {
     fun write(text: String) = socket.getOutputStream().apply { write(text.toByteArray()) }.flush()
 
     fun close() = socket.close()
@@ -59,6 +59,9 @@
         socket.close()
     }
 
+    /** Ends the target with all its connections, as when its process crashes. */
+    fun crash() = target.crash()
+
     /** Waits until the gateway closes the connection; returns whether it did so within [milliseconds]. */
     fun closedWithin(milliseconds: Int): Boolean {
         socket.soTimeout = milliseconds
@@ -91,6 +94,7 @@
     private val server = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
     val requests = CopyOnWriteArrayList<ReadMessage>()
     val failures = CopyOnWriteArrayList<Throwable>()
+    private val sockets = CopyOnWriteArrayList<Socket>()
     val address = Address("127.0.0.1", server.localPort)
 
     init {
@@ -102,11 +106,24 @@
         }
     }
 
+    /** Whether the target has crashed. */
+    val crashed: Boolean get() = server.isClosed
+
+    /** Refuses new connections from now on and resets those that are open. */
+    fun crash() {
+        server.close()
+        sockets.forEach {
+            it.setSoLinger(true, 0)
+            it.close()
+        }
+    }
+
     private fun serve(socket: Socket) = socket.use {
+        sockets += socket
         while (!socket.isClosed) {
             val request = runCatching { readMessage(socket.getInputStream()) }.getOrNull() ?: return
             requests += request
-            runCatching { Script(request, socket).script(requests.size) }.onFailure { failures += it }
+            runCatching { Script(request, socket, this).script(requests.size) }.onFailure { failures += it }
         }
     }
 
