Keep prompt parts that crash targets from them

Callers saw: one in twenty requests of one class carried a part that ended every target that processed it; 24 to 30 targets ended within 22 s, everything in progress there broke off, and sound requests were refused for want of groups.

Cause: each lost request was charged to its target alone, and was sent to the next one. Nothing remembered what the lost requests had in common, at any process. Class of fault: a failure that a request causes is taken for one of the target.

Change: a lost connection is followed by a check whether the target refuses connections. If so, its crash counts against the shared parts of the prompts that were lost, unless a request with the part was answered since. A request that was lost with its target is not sent to another one if that could be the deciding crash, and never a third time.

Ruled out: a bound on repeats alone (half of the crashes are first sends), faster groups (26 of 48 instances in 20 s), connection resets (each loss is followed by refused connections).

--- a/core/src/main/kotlin/boragering/core/membership/PeerMessage.kt
+++ b/core/src/main/kotlin/boragering/core/membership/PeerMessage.kt
@@ -79,6 +79,34 @@
     @SerialName("target-suspicion")
     data class TargetSuspicion(val head: InstanceId, val startedAt: Long?) : PeerMessage
 
+    /**
+     * Reports [lost] requests that were in progress at the instance [target], started at [startedAt], when it crashed
+     * [ageMilliseconds] ago.
+     */
+    @Serializable
+    @SerialName("prompt-crash")
+    data class PromptCrash(
+        val target: InstanceId,
+        val startedAt: Long?,
+        val service: String,
+        val ageMilliseconds: Long,
+        val lost: List<LostPrompt>,
+    ) : PeerMessage
+
+    /**
+     * Reports that requests to [service] with the prompt part [part] crash instances, the last one
+     * [sinceCrashMilliseconds] ago.
+     */
+    @Serializable
+    @SerialName("prompt-part-quarantined")
+    data class PromptPartQuarantined(val service: String, val part: String, val sinceCrashMilliseconds: Long) :
+        PeerMessage
+
+    /** Reports that [service] has answered a request with the prompt part [part], which thus crashes no instance. */
+    @Serializable
+    @SerialName("prompt-part-answered")
+    data class PromptPartAnswered(val service: String, val part: String) : PeerMessage
+
     /** Requests the store's documents that changed after revision [after], because the store does not answer. */
     @Serializable
     @SerialName("document-request")
@@ -132,6 +160,13 @@
     data class InstanceObservations(val instances: List<ObservedInstance>) : PeerMessage
 }
 
+/**
+ * A request that was lost with its instance, [ageMilliseconds] after it was sent: the [parts] of its prompt that others
+ * may share, and those of them with which requests were answered before.
+ */
+@Serializable
+data class LostPrompt(val parts: List<String>, val proven: List<String>, val ageMilliseconds: Long)
+
 /** The models and the group that an instance reports; [group] is `null` if the instance belongs to no group. */
 @Serializable
 data class ObservedInstance(
--- a/core/src/main/kotlin/boragering/core/membership/PeerTrafficMetrics.kt
+++ b/core/src/main/kotlin/boragering/core/membership/PeerTrafficMetrics.kt
@@ -13,6 +13,7 @@
     DOCUMENTS,
     CHANGES,
     TARGET_SUSPICION,
+    PROMPTS,
 }
 
 /** The kind of this message. All messages that compare versions count as [PeerMessageKind.DIGEST]. */
@@ -28,6 +29,8 @@
         is PeerMessage.Echo -> PeerMessageKind.ECHO
         is PeerMessage.GroupSummaries -> PeerMessageKind.GROUP_SUMMARIES
         is PeerMessage.TargetSuspicion -> PeerMessageKind.TARGET_SUSPICION
+        is PeerMessage.PromptCrash, is PeerMessage.PromptPartQuarantined, is PeerMessage.PromptPartAnswered ->
+            PeerMessageKind.PROMPTS
         is PeerMessage.DocumentRequest, is PeerMessage.Documents -> PeerMessageKind.DOCUMENTS
         is PeerMessage.ChangesRequest, is PeerMessage.ChangesAnswer -> PeerMessageKind.CHANGES
         is PeerMessage.InstanceObservations -> PeerMessageKind.DOCUMENTS
--- a/fleet/src/main/kotlin/boragering/fleet/PromptPart.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/PromptPart.kt
@@ -1,8 +1,8 @@
 package boragering.fleet
 
-import kotlinx.collections.immutable.PersistentSet
-import kotlinx.collections.immutable.persistentSetOf
-import kotlinx.collections.immutable.toPersistentSet
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 
 /** A part of a prompt that several requests may share, such as instructions or a document. */
 @JvmInline
@@ -18,10 +18,10 @@
          * The parts that other prompts may contain as well, from header [lines] that list all parts in order as
          * `ID:TOKENS`, separated by commas, with hexadecimal ids. The last part is the request's own.
          */
-        fun shared(lines: List<String>): PersistentSet<PromptPart> {
-            if (lines.isEmpty()) return persistentSetOf()
+        fun shared(lines: List<String>): PersistentList<PromptPart> {
+            if (lines.isEmpty()) return persistentListOf()
             val ids = lines.flatMap { it.split(',') }.map(::normalizedId).filter { it.isNotEmpty() }
-            return ids.dropLast(1).take(MAX_SHARED_PARTS).map(::PromptPart).toPersistentSet()
+            return ids.dropLast(1).take(MAX_SHARED_PARTS).distinct().map(::PromptPart).toPersistentList()
         }
 
         private fun normalizedId(entry: String): String = entry.substringBefore(':').trim().lowercase().trimStart('0')
--- a/fleet/src/main/kotlin/boragering/fleet/TargetCrash.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/TargetCrash.kt
@@ -1,7 +1,7 @@
 package boragering.fleet
 
 import kotlinx.collections.immutable.PersistentList
-import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentListOf
 import kotlin.time.Duration
 
 /**
@@ -17,5 +17,15 @@
     val lost: PersistentList<LostRequest>,
 )
 
-/** A request that was lost with its target: the [parts] of its prompt and when it was sent, by the monotonic clock. */
-data class LostRequest(val parts: PersistentSet<PromptPart>, val sentAt: Duration)
+/**
+ * A request that was lost with its target.
+ *
+ * @property parts the parts of its prompt that others may share, in order.
+ * @property sentAt when it was sent, by the monotonic clock.
+ * @property proven those parts of which the gateway knows that requests with them were answered.
+ */
+data class LostRequest(
+    val parts: PersistentList<PromptPart>,
+    val sentAt: Duration,
+    val proven: PersistentList<PromptPart> = persistentListOf(),
+)
--- a/gateway/src/main/kotlin/boragering/gateway/AttemptDispatcher.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/AttemptDispatcher.kt
@@ -20,6 +20,7 @@
     private val triedTargets = HashSet<InstanceStart>()
     private var callHandle: CallHandle? = null
     private var failedConnects = 0
+    private var lostConnections = 0
 
     /** The attempt in progress; `null` if there is none. */
     var attempt: TargetAttempt? = null
@@ -49,7 +50,8 @@
         val attemptsLeft =
             sendCount < routed.route.attempts &&
                 failedConnects < MAX_FAILED_CONNECTS &&
-                routed.deadline - now > MIN_TIME_LEFT
+                routed.deadline - now > MIN_TIME_LEFT &&
+                state.promptGuard.mayRepeat(routed.sharedParts, lostConnections)
         return repeatAllowed && attemptsLeft && chooseTarget() is Choice.Chosen && withinRetryBudget(now)
     }
 
@@ -61,10 +63,16 @@
         this.earlierMayHaveRun = this.earlierMayHaveRun || mayHaveRun
     }
 
-    /** Counts the current attempt as a failed connect, since its target did not receive the request. */
-    fun onNotSent() {
-        sendCount -= 1
-        failedConnects += 1
+    /** Counts the current attempt as a failed connect or as the loss of a connection, depending on [failure]. */
+    fun onFailure(failure: CallFailure) {
+        when (failure) {
+            is CallFailure.NotSent -> {
+                sendCount -= 1
+                failedConnects += 1
+            }
+            is CallFailure.Disconnected -> lostConnections += 1
+            is CallFailure.Lost -> Unit
+        }
     }
 
     /** Cancels the current attempt, including the work at its target. */
--- a/gateway/src/main/kotlin/boragering/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Exchange.kt
@@ -20,7 +20,12 @@
     fun start() {
         state.exchanges += this
         state.retryAllowance(routed.service.name).recordRequest(state.now())
-        if (state.now() < routed.deadline) send() else finish(progress.timeOut(dispatcher.mayHaveRun))
+        val waitTime = state.promptGuard.waitTime(routed.sharedParts)
+        when {
+            waitTime != null -> finish(progress.refuseQuarantined(waitTime))
+            state.now() < routed.deadline -> send()
+            else -> finish(progress.timeOut(dispatcher.mayHaveRun))
+        }
     }
 
     /** Ends the request if its deadline has passed by [now], or leaves its target if that is silent for too long. */
@@ -95,6 +100,7 @@
         override fun onStreamEnd(attempt: TargetAttempt, head: ResponseHead) {
             if (isStale(attempt)) return
             progress.endStream(head)
+            recordAnswer(attempt, head)
             finish(ExchangeResult(ANSWERED, head.status))
         }
 
@@ -109,6 +115,7 @@
                 }
                 else -> {
                     progress.forwardComplete(head, body)
+                    recordAnswer(attempt, head)
                     finish(ExchangeResult(ANSWERED, head.status))
                 }
             }
@@ -122,14 +129,24 @@
 
         override fun onAttemptFailure(attempt: TargetAttempt, failure: CallFailure) {
             if (isStale(attempt)) return
-            if (failure is CallFailure.NotSent) {
-                dispatcher.onNotSent()
-                state.suspicions.suspect(attempt)
+            dispatcher.onFailure(failure)
+            when (failure) {
+                is CallFailure.NotSent -> state.suspicions.suspect(attempt)
+                is CallFailure.Disconnected -> state.promptGuard.crashDetector.onDisconnected(attempt)
+                is CallFailure.Lost -> Unit
             }
-            if (failure is CallFailure.Disconnected) state.crashDetector.onDisconnected(attempt)
             onAttemptFailed(failure.reason, mayHaveRun = failure !is CallFailure.NotSent)
         }
 
+        /** An answer that ends with its connection does not tell whether the target has ended, too. */
+        private fun recordAnswer(attempt: TargetAttempt, head: ResponseHead) {
+            val delimited = HopByHop.hasDelimitedBody(head.headers)
+            when {
+                !delimited -> state.promptGuard.crashDetector.onDisconnected(attempt)
+                head.status in SUCCESS -> state.promptGuard.onAnswered(routed.sharedParts)
+            }
+        }
+
         private fun isStale(attempt: TargetAttempt): Boolean = finished || attempt !== dispatcher.attempt
     }
 
@@ -138,5 +155,6 @@
         const val CALLER_DISCONNECTED_STATUS = 499
         const val MISDIRECTED_REQUEST = 421
         val TARGET_FAILURES = 500..599
+        val SUCCESS = 200..299
     }
 }
--- a/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
@@ -38,6 +38,9 @@
     /** Number of targets that may get requests. */
     val targets: Int get() = state.targets.all.size
 
+    /** Receives other gateways' reports of prompt parts that crash targets. */
+    val promptReports: PromptReports get() = state.promptGuard
+
     /** Starts to listen at [address]. */
     fun listen(address: Address) {
         scheduleTimeoutCheck()
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayMetrics.kt
@@ -19,8 +19,13 @@
     private val crashes =
         registry.counter { name("boragering_gateway_target_crashes").help("targets that ended during a request") }
 
+    private val quarantines =
+        registry.counter { name("boragering_gateway_quarantines").help("prompt parts kept from targets") }
+
     internal fun recordTargetCrash() = crashes.inc()
 
+    internal fun recordQuarantine() = quarantines.inc()
+
     internal fun recordResponse(route: String, status: Int, origin: String, after: Duration) {
         answers.labelValues(route, status.toString(), origin).inc()
         latency.labelValues(route).observe(after.toDouble(DurationUnit.SECONDS))
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
@@ -10,7 +10,6 @@
 import boragering.fleet.ServiceName
 import boragering.fleet.ServiceProfile
 import boragering.fleet.TargetChoice
-import boragering.fleet.TargetCrash
 import boragering.fleet.TargetIndex
 import boragering.fleet.TargetTable
 import kotlin.random.Random
@@ -35,16 +34,22 @@
     }
 }
 
-/**
- * Dependencies of a gateway. [gatewayCount] returns how many gateways currently serve the deployment, and [onSuspicion]
- * is called with the head instance of each group that seems to have failed.
- */
+/** Dependencies of a gateway. [gatewayCount] returns how many gateways currently serve the deployment. */
 class GatewayPorts(
     val loop: GatewayLoop,
     val log: DecisionLog,
     val metrics: GatewayMetrics,
     val random: Random,
     val gatewayCount: () -> Int,
+    val peers: PeerCallbacks = PeerCallbacks(),
+)
+
+/**
+ * How a gateway tells others what it learns: [onSuspicion] is called with the head instance of each group that seems to
+ * have failed, and [quarantines] shares what it learns of prompts that crash targets.
+ */
+class PeerCallbacks(
+    val quarantines: () -> QuarantineLink = { QuarantineLink.None },
     val onSuspicion: (InstanceStart) -> Unit = {},
 )
 
@@ -68,7 +73,7 @@
     val usages = TargetUsages(pools, headerNames.requestId)
     val targetChoice = TargetChoice(settings.availabilityZone, ports.random)
     val exchanges = LinkedHashSet<Exchange>()
-    val crashDetector = CrashDetector(::onCrash)
+    val promptGuard = PromptGuard(ports)
     val suspicions = TargetSuspicions(this)
 
     /** The routes of the current configuration; `null` before the first one is known. */
@@ -112,24 +117,10 @@
         refresh()
     }
 
-    private fun onCrash(crash: TargetCrash) {
-        ports.metrics.recordTargetCrash()
-        log.event(
-            "target-crashed",
-            "target" to crash.target,
-            "requests" to crash.lost.size,
-            "parts" to crash.lost.flatMapTo(LinkedHashSet()) { it.parts }.take(MAX_LOGGED_PARTS),
-        )
-    }
-
     private fun refresh() {
         val known = instanceList ?: return
         targets = targetBook.update(known, profiles)
         usages.retain(targets)
         if (routes != null && starting) endStartup()
     }
-
-    private companion object {
-        const val MAX_LOGGED_PARTS = 24
-    }
 }
--- a/gateway/src/main/kotlin/boragering/gateway/RequestRouter.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/RequestRouter.kt
@@ -14,8 +14,9 @@
 import boragering.fleet.Route
 import boragering.fleet.RouteTable
 import boragering.fleet.ServiceProfile
+import boragering.fleet.SharedPart
 import io.netty.handler.codec.http.HttpHeaderNames
-import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.PersistentList
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -39,9 +40,12 @@
     val callerDeadline: Duration,
     val priority: Int,
     val model: ModelName?,
-    val promptParts: PersistentSet<PromptPart>,
+    val promptParts: PersistentList<PromptPart>,
     val lastEventId: Long?,
-)
+) {
+    /** The [promptParts] as parts of prompts that are sent to the [service]. */
+    val sharedParts: PersistentList<SharedPart> = SharedPart.of(service.name, promptParts)
+}
 
 /** Validates requests, checks their API keys and chooses their routes and services. Has no side effects. */
 internal class RequestRouter(private val headerNames: HeaderNames, private val random: Random) {
--- a/gateway/src/main/kotlin/boragering/gateway/ResponseProgress.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ResponseProgress.kt
@@ -1,6 +1,7 @@
 package boragering.gateway
 
 import kotlin.random.Random
+import kotlin.time.Duration
 
 /** Tracks the response that the caller of one request has received so far. Runs on the event loop. */
 internal class ResponseProgress(private val response: CallerResponse, private val random: Random, lastEventId: Long?) {
@@ -60,6 +61,10 @@
         }
     }
 
+    /** Ends the response before the request was sent, because its prompt is in quarantine for [waitTime]. */
+    fun refuseQuarantined(waitTime: Duration): ExchangeResult =
+        refuse(Refusal.Unavailable("a part of the prompt crashes targets", waitTime))
+
     /** Ends the response because the deadline of the request has passed. */
     fun timeOut(mayHaveRun: Boolean): ExchangeResult = when {
         streaming -> abortStream()
--- a/gateway/src/main/kotlin/boragering/gateway/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetAttempt.kt
@@ -8,7 +8,7 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpVersion
-import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.PersistentList
 import java.io.ByteArrayOutputStream
 import java.util.Locale
 import kotlin.time.Duration
@@ -58,7 +58,7 @@
         private set
 
     /** The parts of the request's prompt that other requests may share. */
-    val promptParts: PersistentSet<PromptPart> get() = routed.promptParts
+    val promptParts: PersistentList<PromptPart> get() = routed.promptParts
 
     override val requestId: String get() = routed.id.value
 
--- a/gateway/src/main/kotlin/boragering/gateway/TargetSuspicions.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetSuspicions.kt
@@ -8,14 +8,14 @@
     fun suspect(attempt: TargetAttempt) {
         if (!attempt.usage.markSuspected(state.now())) return
         state.log.event("target-suspected", "target" to attempt.target.head, "group" to attempt.target.group)
-        if (attempt.target.group != null) state.ports.onSuspicion(attempt.target.head)
+        if (attempt.target.group != null) state.ports.peers.onSuspicion(attempt.target.head)
     }
 
     /** Handles a 421 response: another instance has the address of the target, or the target's group has ended. */
     fun onMisdirected(attempt: TargetAttempt) {
         attempt.usage.markAway(state.now())
         state.log.event("target-away", "target" to attempt.target.head, "group" to attempt.target.group)
-        if (attempt.target.group != null) state.ports.onSuspicion(attempt.target.head)
+        if (attempt.target.group != null) state.ports.peers.onSuspicion(attempt.target.head)
     }
 
     /**
