Do not reuse a connection after a response without a request id

Callers could be told 'not run' for a request that a target was running: a faulty target writes an earlier refusal once more on a kept connection, and if it carries no id, nothing tells it from the refusal of the next request. Responses with an id were dropped before.

Change: a connection whose response repeats no id is closed after it. Ruled out: to disbelieve refusals without an id, since a target may refuse before it has read the request's head.

--- a/gateway/src/main/kotlin/boragering/gateway/ResponseClassifier.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ResponseClassifier.kt
@@ -58,7 +58,9 @@
     fun readConnectionHeaders(response: HttpResponse) {
         val headers = response.headers()
         val bodiless = decoder.expectNoBody || response.status().code() in STATUSES_WITHOUT_BODY
-        reusable = HttpUtil.isKeepAlive(response) && (HopByHop.hasDelimitedBody(headers) || bodiless)
+        // A response without an id could be repeated later and be taken for the one to the next request.
+        val identified = requestIdHeader == null || headers.contains(requestIdHeader)
+        reusable = identified && HttpUtil.isKeepAlive(response) && (HopByHop.hasDelimitedBody(headers) || bodiless)
         headers.get("Keep-Alive")?.let { keepAliveTime = parseKeepAliveTimeout(it) ?: keepAliveTime }
     }
 
--- a/gateway/src/test/kotlin/boragering/gateway/ScriptedTarget.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/ScriptedTarget.kt
@@ -50,6 +50,9 @@
 
 /** What a [ScriptedTarget] does with one request. */
 internal class Script(val request: ReadMessage, private val socket: Socket, private val target: ScriptedTarget) {
+    /** Port of the gateway's end of the connection, which identifies it. */
+    val connection: Int get() = socket.port
+
     fun write(text: String) = socket.getOutputStream().apply { write(text.toByteArray()) }.flush()
 
     fun close() = socket.close()
