--- a/core/src/main/kotlin/boragering/core/requests/TargetAttempt.kt
+++ b/core/src/main/kotlin/boragering/core/requests/TargetAttempt.kt
@@ -65,6 +65,7 @@
     var sendCount = 0
         private set
 
+    private var brokenSends = 0
     private val retryAfter = Problems.RETRY_SOON_SECONDS.takeIf { plan.repeatable }
     private val remaining: Duration get() = plan.deadlineAt - now()
 
@@ -151,13 +152,15 @@
         return AttemptResult.Failed(problem, relay.started, end)
     }
 
-    private fun onBroken(relay: AnswerRelay, reason: String): AttemptResult =
-        if (plan.repeatable && !relay.started && takeRetry()) {
+    private fun onBroken(relay: AnswerRelay, reason: String): AttemptResult {
+        brokenSends++
+        return if (plan.repeatable && !relay.started && brokenSends < MAXIMUM_BROKEN_SENDS && takeRetry()) {
             AttemptResult.Retry(RetryCause.FAILED, reason)
         } else {
             val problem = Problems.targetFailed(reason, relay.outcomeIfIncomplete, retryAfter)
             AttemptResult.Failed(problem, relay.started, AttemptEnd.TargetFailed)
         }
+    }
 
     private fun takeRetry(): Boolean =
         remaining > Duration.ZERO && sendCount < MAXIMUM_SENDS && context.budget.tryTake()
@@ -178,6 +181,9 @@
         const val STALE_STATUS = 409
         const val MAXIMUM_SENDS = 4
 
+        /** Number of targets lost during a request after which it may itself be the cause. */
+        const val MAXIMUM_BROKEN_SENDS = 2
+
         /** Answers of plain services have no tokens, so their duration in this unit is used as their length. */
         val SERVICE_LENGTH_UNIT = 10.milliseconds
     }
--- a/core/src/test/kotlin/boragering/core/requests/RequestExecutorTest.kt
+++ b/core/src/test/kotlin/boragering/core/requests/RequestExecutorTest.kt
@@ -59,6 +59,15 @@
             }
         }
 
+        it("is sent to two targets at most if each is lost during it (guards against requests that end all targets)") {
+            runTest {
+                val harness = RequestTestHarness(this, RequestTestHarness.model())
+                harness.target.defaultFault = TargetFault.BROKEN_AFTER_RUN
+                harness.send(harness.request()).problem().kind shouldBe ProblemKind.TARGET_FAILED
+                harness.target.sent shouldHaveSize 2
+            }
+        }
+
         it("never receives another request's answer, and does not count as complete with it") {
             runTest {
                 val harness = RequestTestHarness(this, RequestTestHarness.model())
