--- a/core/src/main/kotlin/boragering/core/requests/TargetAttempt.kt
+++ b/core/src/main/kotlin/boragering/core/requests/TargetAttempt.kt
@@ -152,17 +152,15 @@
         return AttemptResult.Failed(problem, relay.started, end)
     }
 
-    private fun onBroken(relay: AnswerRelay, reason: String): AttemptResult =
-        if (plan.repeatable && !relay.started && takeRetryAfterLoss()) {
+    private fun onBroken(relay: AnswerRelay, reason: String): AttemptResult {
+        brokenSends++
+        val repeatable = plan.repeatable && !relay.started && brokenSends < MAXIMUM_BROKEN_SENDS
+        return if (repeatable && takeRetry()) {
             AttemptResult.Retry(RetryCause.FAILED, reason)
         } else {
             val problem = Problems.targetFailed(reason, relay.outcomeIfIncomplete, retryAfter)
             AttemptResult.Failed(problem, relay.started, AttemptEnd.TargetFailed)
         }
-
-    private fun takeRetryAfterLoss(): Boolean {
-        brokenSends++
-        return brokenSends < MAXIMUM_BROKEN_SENDS && takeRetry()
     }
 
     private fun takeRetry(): Boolean =
--- a/fleet/src/test/kotlin/boragering/fleet/DeadlyDay.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/DeadlyDay.kt
@@ -1,7 +1,6 @@
 package boragering.fleet
 
 import boragering.core.InstanceId
-import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import java.util.PriorityQueue
 import kotlin.random.Random
--- a/fleet/src/test/kotlin/boragering/fleet/PromptQuarantineTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/PromptQuarantineTest.kt
@@ -11,7 +11,6 @@
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
-import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
