Log the rate of requests that targets state

No code knew the header in which a target in need states how many requests a second it takes, so neither the log nor the metrics could show whether it was kept to. It is decoded now and logged when it begins, changes or ends. No decision changes.

--- a/gateway/src/main/kotlin/boragering/gateway/DecisionLog.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DecisionLog.kt
@@ -2,6 +2,8 @@
 
 import boragering.core.Clock
 import boragering.core.RequestId
+import boragering.fleet.RateStatement
+import boragering.fleet.Target
 import org.apache.logging.log4j.LogManager
 import org.apache.logging.log4j.message.StringMapMessage
 import kotlin.time.Duration
@@ -36,6 +38,10 @@
     /** Logs a change of this process's state or an action of it, with the [inputs] that explain it. */
     fun event(event: String, vararg inputs: Pair<String, Any?>) = write(event, LogPriority.NOTABLE) { inputs.toMap() }
 
+    /** Logs that the rate of requests that [target] takes has changed as its [statement] says. */
+    internal fun rateStatement(target: Target, statement: RateStatement) =
+        event("target-rate", "target" to target.head, "group" to target.group, "statement" to statement)
+
     private fun write(event: String, priority: LogPriority, fields: () -> Map<String, Any?>) {
         if (!withinLimit(priority)) return
         val message = StringMapMessage().with("event", event)
--- a/gateway/src/main/kotlin/boragering/gateway/HeaderNames.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/HeaderNames.kt
@@ -14,6 +14,7 @@
  * @property promptParts the parts of the prompt in order, as `ID:TOKENS` entries separated by commas.
  * @property notExecuted present in a response if the request was not run and will not be.
  * @property serverLoad numbers of running requests, waiting requests and slots of an instance, separated by commas.
+ * @property rateLimit requests per second that an instance takes from all gateways together, a decimal number.
  * @property responseSignature identifies a response as written by an instance.
  * @property failedInstance id of the instance that caused a request to be refused.
  */
@@ -29,6 +30,7 @@
     val promptParts: String,
     val notExecuted: String,
     val serverLoad: String,
+    val rateLimit: String,
     val responseSignature: String,
     val failedInstance: String,
 )
--- a/gateway/src/main/kotlin/boragering/gateway/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetAttempt.kt
@@ -2,6 +2,7 @@
 
 import boragering.fleet.EventParser
 import boragering.fleet.PromptPart
+import boragering.fleet.RateStatement
 import boragering.fleet.Target
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultFullHttpRequest
@@ -68,6 +69,7 @@
         recordProgress()
         this.head = head
         usage.updateLoad(head.headers.get(state.headerNames.serverLoad), lastProgressAt)
+        recordRateStatement(RateStatement.of(head.headers.get(state.headerNames.rateLimit)))
         notExecuted = head.status == MISDIRECTED_REQUEST || head.headers.contains(state.headerNames.notExecuted)
         if (!notExecuted && isStream(head)) parser = EventParser()
     }
@@ -116,6 +118,10 @@
 
     override fun onFailure(failure: CallFailure) = listener.onAttemptFailure(this, failure)
 
+    private fun recordRateStatement(statement: RateStatement) {
+        if (usage.rate.record(statement, startedAt, lastProgressAt)) state.log.rateStatement(target, statement)
+    }
+
     private fun brokenStream(head: ResponseHead): CallFailure {
         val reason = "the stream ended inside an event"
         val delimited = HopByHop.hasDelimitedBody(head.headers)
--- a/gateway/src/main/kotlin/boragering/gateway/TargetUsages.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetUsages.kt
@@ -6,6 +6,7 @@
 import boragering.fleet.ServiceProfile
 import boragering.fleet.Target
 import boragering.fleet.TargetLoad
+import boragering.fleet.TargetRate
 import boragering.fleet.TargetTable
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -40,6 +41,9 @@
     private var lastActiveAt = Duration.ZERO
     private var consecutiveSuspicions = 0
 
+    /** The rate of requests that the target takes. */
+    val rate = TargetRate()
+
     var load = TargetLoad()
         private set
 
--- a/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
@@ -43,6 +43,7 @@
     promptParts = "Prompt-Parts",
     notExecuted = "Not-Run",
     serverLoad = "Load",
+    rateLimit = "Limit",
     responseSignature = "Signature",
     failedInstance = "Failed-Instance",
 )
