Keep to the rate of requests that a target states

Cause: nothing read the statement. Class of fault: what a target says of itself in its answers is not heard by the choice of targets.

Change: each process keeps to its part of the stated rate, for all sends alike (first ones, repeats, resumed streams). The rate is divided among floor(rate) + 2 processes by rendezvous hashing, without messages; each holds one permit at most, so that idle permits cannot exceed the bound however many processes there are. The others send probes in seconds drawn at random, a tenth of the rate in all. A target whose rate is used up is not chosen; when all are, the request is refused at once. An answer without a statement, to a request that was sent after the last one, ends the limit, and the holders tell all processes. A statement belongs to one start of one target.

Ruled out: an equal part for each process, since the permits of 76 idle processes alone exceed a limit of 3.5 a second; retries as the cause (the breaches come before any).

--- a/core/src/main/kotlin/boragering/core/membership/PeerMessage.kt
+++ b/core/src/main/kotlin/boragering/core/membership/PeerMessage.kt
@@ -107,6 +107,11 @@
     @SerialName("prompt-part-answered")
     data class PromptPartAnswered(val service: String, val part: String) : PeerMessage
 
+    /** Reports that the instance [head], started at [startedAt], no longer limits the rate of its requests. */
+    @Serializable
+    @SerialName("target-rate-ended")
+    data class TargetRateEnded(val head: InstanceId, val startedAt: Long?) : PeerMessage
+
     /** Requests the store's documents that changed after revision [after], because the store does not answer. */
     @Serializable
     @SerialName("document-request")
--- a/core/src/main/kotlin/boragering/core/membership/PeerTrafficMetrics.kt
+++ b/core/src/main/kotlin/boragering/core/membership/PeerTrafficMetrics.kt
@@ -14,6 +14,7 @@
     CHANGES,
     TARGET_SUSPICION,
     PROMPTS,
+    TARGET_RATE,
 }
 
 /** The kind of this message. All messages that compare versions count as [PeerMessageKind.DIGEST]. */
@@ -29,6 +30,7 @@
         is PeerMessage.Echo -> PeerMessageKind.ECHO
         is PeerMessage.GroupSummaries -> PeerMessageKind.GROUP_SUMMARIES
         is PeerMessage.TargetSuspicion -> PeerMessageKind.TARGET_SUSPICION
+        is PeerMessage.TargetRateEnded -> PeerMessageKind.TARGET_RATE
         is PeerMessage.PromptCrash, is PeerMessage.PromptPartQuarantined, is PeerMessage.PromptPartAnswered ->
             PeerMessageKind.PROMPTS
         is PeerMessage.DocumentRequest, is PeerMessage.Documents -> PeerMessageKind.DOCUMENTS
--- a/fleet/src/main/kotlin/boragering/fleet/TargetChoice.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/TargetChoice.kt
@@ -9,7 +9,7 @@
     /** The request goes to [candidate], whose expected number of requests for each slot is [occupancy]. */
     data class Chosen(val candidate: Candidate, val occupancy: Double) : Choice
 
-    /** Every target has reached its occupancy limit. */
+    /** Every target has reached its occupancy limit or the rate that it takes. */
     data object Full : Choice
 
     /** There is no target. */
@@ -42,7 +42,8 @@
 class TargetChoice(private val availabilityZone: AvailabilityZone, private val random: Random) {
     /** Chooses a target among [candidates]. */
     fun choose(candidates: List<Candidate>, context: ChoiceContext): Choice {
-        val healthy = candidates.filter { !it.load.suspected(context.now) }.ifEmpty { candidates }
+        val open = candidates.filter { !it.load.rateLimited }
+        val healthy = open.filter { !it.load.suspected(context.now) }.ifEmpty { open }
         val estimate = LoadEstimate(healthy, context.gateways, context.now)
         val loads = healthy.map { CandidateLoad(it, estimate.occupancy(it) + waitingLoad(it, context)) }
         val limit = if (context.repeated) MAX_OCCUPANCY_FOR_REPEATED else MAX_OCCUPANCY
--- a/fleet/src/main/kotlin/boragering/fleet/TargetLoad.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/TargetLoad.kt
@@ -12,6 +12,7 @@
  * @property suspectUntil until when the target counts as failed, by the monotonic clock.
  * @property identityMismatchUntil until when the target counts as ended, by the monotonic clock, because it answered
  * that it is not the intended target.
+ * @property rateLimited whether the target takes no further request of this gateway now, by its stated rate.
  */
 data class TargetLoad(
     val ownInFlight: Int = 0,
@@ -19,6 +20,7 @@
     val report: LoadReport? = null,
     val suspectUntil: Duration? = null,
     val identityMismatchUntil: Duration? = null,
+    val rateLimited: Boolean = false,
 ) {
     /** Whether the target counts as failed or ended at [now]. */
     fun suspected(now: Duration): Boolean =
--- a/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
@@ -66,6 +66,9 @@
     /** Handles the report of another gateway that the target with the head instance [head] seems to have failed. */
     fun onPeerSuspicion(head: InstanceStart) = state.suspicions.onPeerSuspicion(head)
 
+    /** Handles another gateway's report that the target with the head instance [head] takes any rate again. */
+    fun onPeerRateEnd(head: InstanceStart) = state.usages.endRateLimit(head)
+
     /**
      * Stops gracefully within [limit]. The gateway reports that it is not ready, serves requests that arrive until the
      * load balancer has redirected the callers, and returns when no request is left. It then accepts no connections, so
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
@@ -46,10 +46,12 @@
 
 /**
  * How a gateway tells others what it learns: [onSuspicion] is called with the head instance of each group that seems to
- * have failed, and [quarantines] shares what it learns of prompts that crash targets.
+ * have failed, [quarantines] shares what it learns of prompts that crash targets, and [rates] what it learns of the
+ * rates that targets take.
  */
 class PeerCallbacks(
     val quarantines: () -> QuarantineLink = { QuarantineLink.None },
+    val rates: () -> RateLink = { RateLink.None },
     val onSuspicion: (InstanceStart) -> Unit = {},
 )
 
@@ -70,7 +72,7 @@
 
     val headerNames: HeaderNames get() = settings.headerNames
     val log: DecisionLog get() = ports.log
-    val usages = TargetUsages(pools, headerNames.requestId)
+    val usages = TargetUsages(pools, headerNames.requestId, ports)
     val targetChoice = TargetChoice(settings.availabilityZone, ports.random)
     val exchanges = LinkedHashSet<Exchange>()
     val promptGuard = PromptGuard(ports)
--- a/gateway/src/main/kotlin/boragering/gateway/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetAttempt.kt
@@ -119,7 +119,10 @@
     override fun onFailure(failure: CallFailure) = listener.onAttemptFailure(this, failure)
 
     private fun recordRateStatement(statement: RateStatement) {
-        if (usage.rate.record(statement, startedAt, lastProgressAt)) state.log.rateStatement(target, statement)
+        if (!usage.rate.record(statement, startedAt, lastProgressAt)) return
+        state.log.rateStatement(target, statement)
+        val ended = statement == RateStatement.Unlimited
+        if (ended && usage.rate.holding) state.ports.peers.rates().reportEnd(target.head)
     }
 
     private fun brokenStream(head: ResponseHead): CallFailure {
--- a/gateway/src/main/kotlin/boragering/gateway/TargetUsages.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetUsages.kt
@@ -3,6 +3,7 @@
 import boragering.fleet.Candidate
 import boragering.fleet.InstanceStart
 import boragering.fleet.LoadReport
+import boragering.fleet.RateShares
 import boragering.fleet.ServiceProfile
 import boragering.fleet.Target
 import boragering.fleet.TargetLoad
@@ -13,16 +14,30 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** The connections and the load of each target that the gateway uses. Used on the event loop only. */
-internal class TargetUsages(private val pools: ConnectionPoolContext, private val requestIdHeader: String) {
+internal class TargetUsages(
+    private val pools: ConnectionPoolContext,
+    private val requestIdHeader: String,
+    private val ports: GatewayPorts,
+) {
     private val targets = HashMap<InstanceStart, TargetUsage>()
 
     /** The connections and the load of [target]. */
     fun of(target: Target): TargetUsage = targets.getOrPut(target.head) {
-        TargetUsage(ConnectionPool(pools, target.address, requestIdHeader))
+        val shares = RateShares { maxHolders -> ports.peers.rates().share(target.head, maxHolders) }
+        TargetUsage(ConnectionPool(pools, target.address, requestIdHeader), TargetRate(shares, ports.random))
     }
 
     /** Combines [targets] with their loads. */
-    fun candidates(targets: List<Target>): List<Candidate> = targets.map { Candidate(it, of(it).load) }
+    fun candidates(targets: List<Target>): List<Candidate> = targets.map { target ->
+        val usage = of(target)
+        val limited = !usage.rate.mayTake(pools.loop.now())
+        Candidate(target, if (limited) usage.load.copy(rateLimited = true) else usage.load)
+    }
+
+    /** Ends the rate limit of the target with the head instance [head], if there is one. */
+    fun endRateLimit(head: InstanceStart) {
+        targets[head]?.rate?.end(pools.loop.now())
+    }
 
     /** Removes the targets that are not in [table], except those with requests in progress. */
     fun retain(table: TargetTable) {
@@ -33,22 +48,24 @@
     }
 }
 
-/** The connections, the load and the recent activity of one target. */
-internal class TargetUsage(val pool: ConnectionPool) {
+/**
+ * The connections, the load and the recent activity of one target.
+ *
+ * @property rate the rate of requests that the target takes.
+ */
+internal class TargetUsage(val pool: ConnectionPool, val rate: TargetRate) {
     /** When the requests without an event or an answer were sent, oldest first. */
     private val awaiting = ArrayList<Duration>()
     private var activeStreams = 0
     private var lastActiveAt = Duration.ZERO
     private var consecutiveSuspicions = 0
 
-    /** The rate of requests that the target takes. */
-    val rate = TargetRate()
-
     var load = TargetLoad()
         private set
 
     /** Called when a request is sent at [now]. */
     fun onRequestStart(now: Duration) {
+        rate.onSend(now)
         awaiting += now
         load = load.copy(ownInFlight = load.ownInFlight + 1, awaitingSince = awaiting.first())
     }
