Keep quarantined prompts from all repeats, and count targets that end inside a head

A repeat after a refusal or a silence did not ask the quarantine, only one after a lost connection. A target that ended inside the head of its answer was taken for one that answers wrongly, so its crash counted against nobody.

--- a/fleet/src/main/kotlin/boragering/fleet/PromptQuarantine.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/PromptQuarantine.kt
@@ -78,12 +78,16 @@
         return waiting.maxOfOrNull { (_, entry) -> (entry.trialAt - now).coerceAtLeast(SHORTEST_WAIT) }
     }
 
+    /** Whether one of [parts] is in quarantine at [now]. */
+    fun holds(parts: List<SharedPart>, now: Duration): Boolean =
+        parts.any { part -> entries[part].let { it != null && it.until > now } }
+
     /**
      * Whether a request that was just lost with its target may be sent to another one at [now]: not if one crash after
      * that one would put one of its [parts] into quarantine.
      */
-    fun mayRepeat(parts: List<SharedPart>, now: Duration): Boolean =
-        parts.none { entries[it] != null || evidence.crashesLeft(it, now) <= CRASHES_AT_HAND }
+    fun mayFollowLoss(parts: List<SharedPart>, now: Duration): Boolean =
+        parts.none { evidence.crashesLeft(it, now) <= CRASHES_AT_HAND }
 
     private fun enter(part: SharedPart, now: Duration) {
         entries[part] = QuarantineEntry(now)
--- a/fleet/src/test/kotlin/boragering/fleet/DeadlyDay.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/DeadlyDay.kt
@@ -112,7 +112,7 @@
     }
 
     private fun repeat(gateway: Int, parts: List<PromptPart>, time: Duration) {
-        if (gateways[gateway].mayRepeat(SharedPart.of(SERVICE, parts), now)) send(parts, time, retries = 0)
+        if (gateways[gateway].mayFollowLoss(SharedPart.of(SERVICE, parts), now)) send(parts, time, retries = 0)
     }
 
     private fun finish(target: EmulatedTarget, request: Running) {
--- a/fleet/src/test/kotlin/boragering/fleet/PromptPartTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/PromptPartTest.kt
@@ -14,6 +14,10 @@
             PromptPart.shared(listOf("00Ab:1,ab:2,c:3")).map { it.id } shouldContainExactly listOf("ab")
         }
 
+        it("have short ids (guards against keys and messages that callers can fill)") {
+            PromptPart.shared(listOf("${"a".repeat(65)}:1,b:2,c:3")).map { it.id } shouldContainExactly listOf("b")
+        }
+
         it("of a prompt without a list, or with only its own part, are none (guards against empty ids)") {
             PromptPart.shared(emptyList()).shouldBeEmpty()
             PromptPart.shared(listOf("a1:3", " , ")).shouldBeEmpty()
--- a/fleet/src/test/kotlin/boragering/fleet/PromptQuarantineTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/PromptQuarantineTest.kt
@@ -54,9 +54,9 @@
 
         it("is not repeated from the second on (guards against retries that end further targets)") {
             val quarantine = PromptQuarantine()
-            quarantine.mayRepeat(parts("bad"), 1.seconds) shouldBe true
+            quarantine.mayFollowLoss(parts("bad"), 1.seconds) shouldBe true
             quarantine.record(crash(1, 1.seconds, listOf("bad")))
-            quarantine.mayRepeat(parts("bad"), 2.seconds) shouldBe false
+            quarantine.mayFollowLoss(parts("bad"), 2.seconds) shouldBe false
         }
 
         it("is found although requests with it were answered before (guards against parts that turn deadly)") {
--- a/gateway/src/main/kotlin/boragering/gateway/PromptGuard.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PromptGuard.kt
@@ -26,10 +26,10 @@
      * Whether a request with [parts], during which [lostConnections] connections to targets were lost, may be sent to
      * another target although it may be the cause.
      */
-    fun mayRepeat(parts: List<SharedPart>, lostConnections: Int): Boolean = when (lostConnections) {
-        0 -> true
-        in 1..<MAX_LOST_CONNECTIONS -> quarantine.mayRepeat(parts, now())
-        else -> false
+    fun mayRepeat(parts: List<SharedPart>, lostConnections: Int): Boolean = when {
+        quarantine.holds(parts, now()) -> false
+        lostConnections == 0 -> true
+        else -> lostConnections < MAX_LOST_CONNECTIONS && quarantine.mayFollowLoss(parts, now())
     }
 
     /** Records that a target has answered a request with [parts] completely. */
--- a/gateway/src/main/kotlin/boragering/gateway/ResponseClassifier.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ResponseClassifier.kt
@@ -1,5 +1,6 @@
 package boragering.gateway
 
+import io.netty.handler.codec.PrematureChannelClosureException
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
@@ -26,7 +27,7 @@
     data object Skipped : HeadClassification
 
     /** The connection cannot deliver a valid response to the call. */
-    data class Unusable(val reason: String) : HeadClassification
+    data class Unusable(val failure: CallFailure) : HeadClassification
 }
 
 /** Matches the responses on a connection to calls, and tracks whether and how long the connection can be reused. */
@@ -45,11 +46,11 @@
         val status = response.status().code()
         return when {
             response.decoderResult().isFailure ->
-                HeadClassification.Unusable("malformed response: ${response.decoderResult().cause()}")
+                HeadClassification.Unusable(malformed(response.decoderResult().cause()))
             status < FIRST_FINAL_STATUS -> HeadClassification.Skipped
             requestId != null && echoedId != null && echoedId != requestId -> HeadClassification.Skipped
             requestId != null && echoedId == null && status < FIRST_FAILURE_STATUS ->
-                HeadClassification.Unusable("the response does not repeat the request id")
+                HeadClassification.Unusable(CallFailure.Lost("the response does not repeat the request id"))
             else -> HeadClassification.Matching
         }
     }
@@ -64,6 +65,12 @@
         headers.get("Keep-Alive")?.let { keepAliveTime = parseKeepAliveTimeout(it) ?: keepAliveTime }
     }
 
+    private fun malformed(cause: Throwable): CallFailure {
+        val reason = "malformed response: $cause"
+        val closed = cause is PrematureChannelClosureException
+        return if (closed) CallFailure.Disconnected(reason) else CallFailure.Lost(reason)
+    }
+
     private fun parseKeepAliveTimeout(header: String): Duration? =
         header.split(',').map { it.trim() }.firstOrNull { it.startsWith("timeout=") }
             ?.substringAfter('=')?.toIntOrNull()
--- a/gateway/src/main/kotlin/boragering/gateway/TargetConnection.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetConnection.kt
@@ -76,7 +76,7 @@
         }
         when (val classification = classifier.classify(response, current.requestId)) {
             HeadClassification.Skipped -> skipped.onHead()?.let { fail(CallFailure.Lost(it)) }
-            is HeadClassification.Unusable -> fail(CallFailure.Lost(classification.reason))
+            is HeadClassification.Unusable -> fail(classification.failure)
             HeadClassification.Matching -> {
                 classifier.readConnectionHeaders(response)
                 val status = response.status()
