--- a/gateway/src/main/kotlin/boragering/gateway/PromptGuard.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PromptGuard.kt
@@ -54,7 +54,8 @@
         ports.log.event("prompt-part-released", "part" to part, "reason" to "another gateway saw an answer")
     }
 
-    private fun onCrash(crash: TargetCrash) {
+    /** Handles a crash that this gateway saw. */
+    fun onCrash(crash: TargetCrash) {
         ports.metrics.recordTargetCrash()
         ports.log.event(
             "target-crashed",
--- a/gateway/src/main/kotlin/boragering/gateway/QuarantineExchange.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/QuarantineExchange.kt
@@ -1,5 +1,6 @@
 package boragering.gateway
 
+import boragering.core.DaemonId
 import boragering.core.Store
 import boragering.core.membership.PeerLink
 import boragering.core.membership.PeerMessage
@@ -31,6 +32,9 @@
     private val publisher = QuarantinePublisher(ports, judges) { reports().quarantined }
     private val answeredAt = HashMap<SharedPart, Duration>()
 
+    /** Whether this gateway has nothing to make known. */
+    internal val settled: Boolean get() = publisher.settled
+
     override fun reportCrash(crash: TargetCrash) {
         crash.lost.take(PromptMessages.MAX_LOST_PROMPTS)
             .flatMap { request -> judges.of(SharedPart.of(crash.service, request.parts)).map { it to request } }
@@ -49,8 +53,9 @@
 
     override fun mayTry(part: SharedPart): Boolean = judges.rank(part) == 0
 
-    /** Handles a message of another gateway; messages of other components are ignored. */
-    fun handle(message: PeerMessage) {
+    /** Handles a message of the gateway [from]; messages of other components are ignored. */
+    @Suppress("UnusedParameter")
+    fun handle(from: DaemonId, message: PeerMessage) {
         when (message) {
             is PeerMessage.PromptCrash -> reports().onPeerCrash(PromptMessages.decode(message, ports.loop.now()))
             is PeerMessage.PromptPartQuarantined -> adopt(
--- a/gateway/src/main/kotlin/boragering/gateway/QuarantinePublisher.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/QuarantinePublisher.kt
@@ -27,6 +27,9 @@
     private val publications = HashMap<SharedPart, Publication>()
     private var stepScheduled = false
 
+    /** Whether no check for missing documents is due. */
+    val settled: Boolean get() = !stepScheduled
+
     /** Makes the quarantine of [part] known, at once if this gateway is the first of its judges. */
     fun publish(part: SharedPart) {
         publications.getOrPut(part) { Publication(ports.loop.now()) }
