Write lapsed quarantines again, and tell gateways that missed one

What callers would have seen: after an outage of the store in which leases run out, processes that start later send a deadly part to targets until three of them have crashed; and a process that missed a quarantine goes on sending although its judges know better.

Cause: the removal of a document was ignored, and a crash report about a part in quarantine led to nothing but a longer quarantine at the judge. Change: a removal makes the judges check for missing documents, one after the other; a judge answers such a report with the quarantine. Ruled out: to tell the end of a lease from a lapse, which a process that was itself cut off cannot do; at the true end of a quarantine the processes have let go of it already.

--- a/gateway/src/main/kotlin/boragering/gateway/PromptGuard.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PromptGuard.kt
@@ -50,8 +50,10 @@
     }
 
     override fun onPeerAnswer(part: SharedPart) {
+        if (part in quarantined) {
+            ports.log.event("prompt-part-released", "part" to part, "reason" to "another gateway saw an answer")
+        }
         quarantine.release(part)
-        ports.log.event("prompt-part-released", "part" to part, "reason" to "another gateway saw an answer")
     }
 
     /** Handles a crash that this gateway saw. */
--- a/gateway/src/main/kotlin/boragering/gateway/QuarantineDocument.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/QuarantineDocument.kt
@@ -19,11 +19,12 @@
     /** The content of the document about [part]. */
     fun encode(part: SharedPart): String = Json.encodeToString(Content(part.service.value, part.part.id))
 
-    /** The part that [document] is about, or why it cannot be read; `null` if it is a document of another kind. */
-    fun decode(document: StoredValue): Either<String, SharedPart>? {
-        if (!document.key.startsWith(PREFIX)) return null
-        return Either.catch { Json.decodeFromString<Content>(document.value) }
+    /** Whether [key] is that of a document about a part. */
+    fun isKey(key: String): Boolean = key.startsWith(PREFIX)
+
+    /** The part that [document] is about, or why it cannot be read. */
+    fun decode(document: StoredValue): Either<String, SharedPart> =
+        Either.catch { Json.decodeFromString<Content>(document.value) }
             .map { PromptMessages.part(it.service, it.part) }
             .mapLeft { it.message.orEmpty() }
-    }
 }
--- a/gateway/src/main/kotlin/boragering/gateway/QuarantineExchange.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/QuarantineExchange.kt
@@ -30,7 +30,7 @@
     QuarantineLink {
     private val judges = QuarantineJudges(ports.peers)
     private val publisher = QuarantinePublisher(ports, judges) { reports().quarantined }
-    private val answeredAt = HashMap<SharedPart, Duration>()
+    private val recentAnswers = RecentAnswers(ports.loop::now)
 
     /** Whether this gateway has nothing to make known. */
     internal val settled: Boolean get() = publisher.settled
@@ -45,7 +45,7 @@
     override fun onQuarantined(part: SharedPart) = publisher.publish(part)
 
     override fun reportAnswered(part: SharedPart) {
-        recordAnswered(part)
+        recentAnswers.add(part)
         val message = PeerMessage.PromptPartAnswered(part.service.value, part.part.id)
         judges.others.forEach { ports.link.send(it, message) }
         publisher.withdraw(part)
@@ -54,17 +54,16 @@
     override fun mayTry(part: SharedPart): Boolean = judges.rank(part) == 0
 
     /** Handles a message of the gateway [from]; messages of other components are ignored. */
-    @Suppress("UnusedParameter")
     fun handle(from: DaemonId, message: PeerMessage) {
         when (message) {
-            is PeerMessage.PromptCrash -> reports().onPeerCrash(PromptMessages.decode(message, ports.loop.now()))
+            is PeerMessage.PromptCrash -> judge(from, PromptMessages.decode(message, ports.loop.now()))
             is PeerMessage.PromptPartQuarantined -> adopt(
                 PromptMessages.part(message.service, message.part),
                 message.sinceCrashMilliseconds.milliseconds,
             )
             is PeerMessage.PromptPartAnswered -> {
                 val part = PromptMessages.part(message.service, message.part)
-                recordAnswered(part)
+                recentAnswers.add(part)
                 reports().onPeerAnswer(part)
             }
             else -> Unit
@@ -76,30 +75,46 @@
      * also disappear when their leases end during an outage of the store.
      */
     fun applyChange(change: DocumentChange) {
-        if (change !is DocumentChange.Written) return
+        if (!QuarantineDocument.isKey(change.key)) return
+        when (change) {
+            is DocumentChange.Written -> applyDocument(change)
+            is DocumentChange.Removed -> publisher.onDocumentRemoved()
+        }
+    }
+
+    private fun applyDocument(change: DocumentChange.Written) {
         val part = QuarantineDocument.decode(change.document)
-            ?.onLeft { ports.log.event("quarantine-unreadable", "key" to change.key, "reason" to it) }
-            ?.getOrNull()
+            .onLeft { ports.log.event("quarantine-unreadable", "key" to change.key, "reason" to it) }
+            .getOrNull()
             ?: return
-        if (recentlyAnswered(part)) publisher.withdraw(part) else adopt(part, sinceCrash = Duration.ZERO)
+        if (part in recentAnswers) publisher.withdraw(part) else adopt(part, sinceCrash = Duration.ZERO)
+    }
+
+    private fun judge(reporter: DaemonId, crash: TargetCrash) {
+        reports().onPeerCrash(crash)
+        // A reporter that knew of a quarantine would not have sent the request.
+        publisher.remind(reporter, crash.lost.flatMap { SharedPart.of(crash.service, it.parts) }.toSet())
     }
 
     private fun adopt(part: SharedPart, sinceCrash: Duration) {
-        if (recentlyAnswered(part)) return
+        if (part in recentAnswers) return
         reports().onPeerQuarantine(part, sinceCrash)
         if (judges.rank(part) < QuarantineJudges.COUNT) publisher.publish(part)
     }
+}
+
+/** The parts that were answered lately, of which documents from before the answer may still arrive. */
+private class RecentAnswers(private val now: () -> Duration) {
+    private val answeredAt = HashMap<SharedPart, Duration>()
 
-    private fun recordAnswered(part: SharedPart) {
-        answeredAt.values.removeIf { ports.loop.now() - it > ANSWER_MEMORY }
-        answeredAt[part] = ports.loop.now()
+    fun add(part: SharedPart) {
+        answeredAt.values.removeIf { now() - it > MEMORY }
+        answeredAt[part] = now()
     }
 
-    private fun recentlyAnswered(part: SharedPart): Boolean =
-        answeredAt[part].let { it != null && ports.loop.now() - it <= ANSWER_MEMORY }
+    operator fun contains(part: SharedPart): Boolean = answeredAt[part].let { it != null && now() - it <= MEMORY }
 
     private companion object {
-        /** Time within which a document that was written before an answer may still arrive. */
-        val ANSWER_MEMORY = 10.seconds
+        val MEMORY = 10.seconds
     }
 }
--- a/gateway/src/main/kotlin/boragering/gateway/QuarantinePublisher.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/QuarantinePublisher.kt
@@ -36,6 +36,18 @@
         schedule(if (judges.rank(part) == 0) Duration.ZERO else STEP_INTERVAL)
     }
 
+    /** Checks whether a document has to be written again, because one has disappeared. */
+    fun onDocumentRemoved() {
+        publications.values.forEach { it.missingSince = ports.loop.now() }
+        schedule(STEP_INTERVAL)
+    }
+
+    /** Tells [gateway], which has just reported a crash, which of [parts] are in quarantine. */
+    fun remind(gateway: DaemonId, parts: Collection<SharedPart>) {
+        val known = quarantined().toSet()
+        parts.filter { it in known }.forEach { ports.link.send(gateway, message(it, sinceCrash = Duration.ZERO)) }
+    }
+
     /** Removes the document about [part], whose quarantine has ended. */
     fun withdraw(part: SharedPart) {
         publications.remove(part)
@@ -58,20 +70,22 @@
         publications.keys.retainAll(quarantined().toSet())
         val missing = publications.filter { (part, _) -> ports.mirror[QuarantineDocument.key(part)] == null }
         missing.forEach { (part, publication) ->
-            if (now - publication.since >= STEP_INTERVAL * judges.rank(part)) announce(part, publication, now)
+            if (now - publication.missingSince >= STEP_INTERVAL * judges.rank(part)) announce(part, publication, now)
         }
         if (missing.isNotEmpty()) schedule(STEP_INTERVAL)
     }
 
     private fun announce(part: SharedPart, publication: Publication, now: Duration) {
-        val sinceCrash = (now - publication.since).inWholeMilliseconds
-        val message = PeerMessage.PromptPartQuarantined(part.service.value, part.part.id, sinceCrash)
+        val message = message(part, sinceCrash = now - publication.since)
         judges.others.filter(publication.told::add).forEach { ports.link.send(it, message) }
         if (publication.writtenAt.let { it != null && now - it < WRITE_INTERVAL }) return
         publication.writtenAt = now
         scope.launch { write(part) }
     }
 
+    private fun message(part: SharedPart, sinceCrash: Duration) =
+        PeerMessage.PromptPartQuarantined(part.service.value, part.part.id, sinceCrash.inWholeMilliseconds)
+
     private suspend fun write(part: SharedPart) {
         val key = QuarantineDocument.key(part)
         val outcome = ports.store.grantLease(PromptQuarantine.QUARANTINE_TIME).flatMap { lease ->
@@ -83,6 +97,7 @@
 
     /** The progress of making a quarantine known, which began at [since]. */
     private class Publication(val since: Duration) {
+        var missingSince = since
         val told = HashSet<DaemonId>()
         var writtenAt: Duration? = null
     }
--- a/gateway/src/test/kotlin/boragering/gateway/CrashingPromptTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/CrashingPromptTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.milliseconds
 
 private const val DEADLY_PART = "bad0"
 private const val MAX_CRASHES = 5
@@ -20,7 +21,7 @@
                 val statuses = (1..20).map { number ->
                     gateway.caller().call("/idempotent/a", "Prompt-Parts: a1:40,$DEADLY_PART:9,d$number:5")
                     // Engines need longer than this to read a prompt.
-                    Thread.sleep(60)
+                    gateway.clock.advance(60.milliseconds)
                     gateway.caller().call("/idempotent/a", "Prompt-Parts: a1:40,c$number:5").status
                 }
                 statuses.distinct() shouldBe listOf(200)
--- a/gateway/src/test/kotlin/boragering/gateway/FaultyTargetTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/FaultyTargetTest.kt
@@ -12,7 +12,6 @@
             return ScriptedTarget { number ->
                 if (number == 1) refusedOn = connection
                 if (connection == refusedOn) write(refusal)
-                Thread.sleep(50)
                 if (number > 1) answer(200, "done")
             }
         }
@@ -36,7 +35,6 @@
             val breaking = ScriptedTarget {
                 beginStream()
                 event("id: 1\ndata: a\n\n")
-                Thread.sleep(50)
                 close()
             }
             val failing = ScriptedTarget { answer(500, "id: 2\ndata: the error\n\n") }
