--- a/fleet/src/main/kotlin/boragering/fleet/InstanceTracker.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/InstanceTracker.kt
@@ -15,6 +15,9 @@
     private val retainedUntil = HashMap<InstanceId, Duration>()
     private var revision = 0L
 
+    /** The instances whose entries are retained although they have disappeared from the list. */
+    val retained: Set<InstanceId> get() = retainedUntil.keys
+
     /** Whether any entries are retained although they have disappeared from the list. */
     val retainsMissing: Boolean get() = retainedUntil.isNotEmpty()
 
@@ -51,11 +54,11 @@
         }
     }
 
-    /** Drops the retained entries that did not return by [now]; returns whether there were any. */
-    fun expire(now: Duration): Boolean {
-        val expired = retainedUntil.filterValues { it <= now }.keys.toList()
+    /** Drops the retained entries that did not return by [now], and returns the ids of their instances. */
+    fun expire(now: Duration): Set<InstanceId> {
+        val expired = retainedUntil.filterValues { it <= now }.keys.toSet()
         expired.forEach(::drop)
-        return expired.isNotEmpty()
+        return expired
     }
 
     private fun drop(id: InstanceId) {
--- a/fleet/src/test/kotlin/boragering/fleet/InstanceTrackerTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/InstanceTrackerTest.kt
@@ -32,9 +32,9 @@
         it("is retained for a while after the list was unreachable (guards against the loss of all targets)") {
             val tracker = tracker()
             tracker.remove(id, atRevision = 2, recovering = true, now = 1.seconds)
-            tracker.expire(now = 3.seconds) shouldBe false
+            tracker.expire(now = 3.seconds) shouldBe emptySet()
             tracker.list.instances.containsKey(id) shouldBe true
-            tracker.expire(now = 1.seconds + 2_300.milliseconds) shouldBe true
+            tracker.expire(now = 1.seconds + 2_300.milliseconds) shouldBe setOf(id)
             tracker.list.instances.containsKey(id) shouldBe false
         }
 
@@ -42,7 +42,7 @@
             val tracker = tracker()
             tracker.remove(id, atRevision = 2, recovering = true, now = 1.seconds)
             tracker.put(instance, atRevision = 3)
-            tracker.expire(now = 10.seconds) shouldBe false
+            tracker.expire(now = 10.seconds) shouldBe emptySet()
             tracker.retainsMissing shouldBe false
         }
     }
