Take a removal after the return of the store for a departure

Cause: entries that run out in an outage are retained for 2.3 s, since their instances list themselves again. Which removals that concerns was told by the clock: each one that was read within 2.5 s of the store's return, for 2.3 s from then on. An instance that left in that time counted as one whose entry ran out. The evidence was there: what ran out in the outage is in the first answer after it, and a removal of a later revision was made while the store was back.

Change: a removal is retained only if its revision is within the first answer after the outage, or if another gateway passes it on while the store still does not answer this one; and until 2.3 s after the return, however late it is read. The latter also closes a gap: a gateway that heard of the removals from others, before the store answered it again, dropped all of its targets.

Ruled out: shortening the two times, which loses targets that need two seconds to return. The tests of the tracker and of the availability check the same as before with the deadline in place of the flag, and three cases more.

--- a/fleet/src/main/kotlin/boragering/fleet/InstanceTracker.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/InstanceTracker.kt
@@ -3,12 +3,11 @@
 import boragering.core.InstanceId
 import kotlinx.collections.immutable.persistentMapOf
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Tracks the list of instances as it changes. An entry that disappears shortly after the list was unreachable may have
- * expired although its instance still runs. Such an entry is retained until the instance has had time to list itself
- * again. Not thread-safe.
+ * Tracks the list of instances as it changes. An entry that disappeared while the list was unreachable may have expired
+ * although its instance still runs. Such an entry is retained until the instance has had time to list itself again. Not
+ * thread-safe.
  */
 class InstanceTracker {
     private var listed = persistentMapOf<InstanceId, Instance>()
@@ -42,15 +41,15 @@
     }
 
     /**
-     * Removes an entry that disappeared from the list at [now]. If [recovering], the list was unreachable shortly
-     * before, and the entry is retained for a while.
+     * Removes an entry that disappeared from the list, at once or, if it may return, unless it is put again before
+     * [returnDeadline].
      */
-    fun remove(id: InstanceId, atRevision: Long, recovering: Boolean, now: Duration) {
+    fun remove(id: InstanceId, atRevision: Long, returnDeadline: Duration?) {
         revision = maxOf(revision, atRevision)
         when {
             id !in listed -> Unit
-            recovering -> retainedUntil.putIfAbsent(id, now + RELIST_TIMEOUT)
-            else -> drop(id)
+            returnDeadline == null -> drop(id)
+            else -> retainedUntil.putIfAbsent(id, returnDeadline)
         }
     }
 
@@ -65,9 +64,4 @@
         retainedUntil.remove(id)
         listed = listed.remove(id)
     }
-
-    private companion object {
-        /** Time allowed for running instances to list themselves again. */
-        val RELIST_TIMEOUT = 2_300.milliseconds
-    }
 }
--- a/fleet/src/test/kotlin/boragering/fleet/InstanceTrackerTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/InstanceTrackerTest.kt
@@ -25,25 +25,34 @@
     describe("an entry that disappears") {
         it("is removed at once while the list is reachable (guards against requests to an instance that left)") {
             val tracker = tracker()
-            tracker.remove(id, atRevision = 2, recovering = false, now = 1.seconds)
+            tracker.remove(id, atRevision = 2, returnDeadline = null)
             tracker.list.instances.containsKey(id) shouldBe false
         }
 
-        it("is retained for a while after the list was unreachable (guards against the loss of all targets)") {
+        it("is retained until the deadline for its return (guards against the loss of all targets)") {
             val tracker = tracker()
-            tracker.remove(id, atRevision = 2, recovering = true, now = 1.seconds)
+            tracker.remove(id, atRevision = 2, returnDeadline = 3_300.milliseconds)
             tracker.expire(now = 3.seconds) shouldBe emptySet()
             tracker.list.instances.containsKey(id) shouldBe true
-            tracker.expire(now = 1.seconds + 2_300.milliseconds) shouldBe setOf(id)
+            tracker.expire(now = 3_300.milliseconds) shouldBe setOf(id)
             tracker.list.instances.containsKey(id) shouldBe false
         }
 
         it("stays if it returns in time (guards against the late removal of a running instance)") {
             val tracker = tracker()
-            tracker.remove(id, atRevision = 2, recovering = true, now = 1.seconds)
+            tracker.remove(id, atRevision = 2, returnDeadline = 3_300.milliseconds)
             tracker.put(instance, atRevision = 3)
             tracker.expire(now = 10.seconds) shouldBe emptySet()
             tracker.retainsMissing shouldBe false
         }
+
+        it("is removed at once when it disappears again (guards against requests to an instance that then left)") {
+            val tracker = tracker()
+            tracker.remove(id, atRevision = 2, returnDeadline = 3_300.milliseconds)
+            tracker.put(instance, atRevision = 3)
+            tracker.remove(id, atRevision = 4, returnDeadline = null)
+            tracker.list.instances.containsKey(id) shouldBe false
+            tracker.retainsMissing shouldBe false
+        }
     }
 })
--- a/gateway/src/main/kotlin/boragering/gateway/DocumentFollower.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DocumentFollower.kt
@@ -3,6 +3,7 @@
 import boragering.core.Clock
 import boragering.core.DaemonId
 import boragering.core.StoreFailure
+import boragering.core.StoreRevision
 import kotlinx.coroutines.delay
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -62,8 +63,12 @@
     val noOutageSinceStart: Boolean
         get() = availability.answeredAtOnce && !availability.answeredBefore && availability.lostAt == null
 
-    /** Whether entries that disappear now may belong to instances that are still alive. */
-    val entriesMayReturn: Boolean get() = availability.entriesMayReturn(loop.now())
+    /**
+     * The time until which an entry that was removed at [revision], as is learned now, may be written again; `null` if
+     * the removal shows that its instance has ended.
+     */
+    fun entryReturnDeadline(revision: StoreRevision): Duration? =
+        availability.entryReturnDeadline(revision, loop.now())
 
     override fun onReachableElsewhere() = availability.onReachableElsewhere(loop.now())
 
@@ -87,7 +92,7 @@
     private suspend fun readAll() {
         val requestedAt = loop.now()
         feeds.store.read(PREFIX).fold({ onStoreFailure(it) }, { snapshot ->
-            onConfirmed(requestedAt)
+            onConfirmed(requestedAt, snapshot.revision)
             mirror.replaceAll(snapshot)
             log.event("store-read", "revision" to snapshot.revision, "documents" to snapshot.documents.size)
         })
@@ -103,7 +108,8 @@
         when (val failure = result.leftOrNull()) {
             null -> result.onRight { changes ->
                 // An empty result means that the store waited for the full time without a change.
-                onConfirmed(if (changes.changes.isEmpty()) minOf(requestedAt + wait, loop.now()) else requestedAt)
+                val confirmedAt = if (changes.changes.isEmpty()) minOf(requestedAt + wait, loop.now()) else requestedAt
+                onConfirmed(confirmedAt, changes.revision)
                 mirror.apply(changes)
             }
             FeedFailure.HistoryLost -> {
@@ -119,7 +125,7 @@
             mirror.apply(relayed.changes)
             val confirmedAt = relayed.confirmedAt
             if (confirmedAt != null && loop.now() - confirmedAt <= MAX_READER_AGE) {
-                onConfirmed(confirmedAt)
+                onConfirmed(confirmedAt, relayed.changes.revision)
             } else {
                 onReaderFailure(
                     reader,
@@ -134,13 +140,17 @@
         log.event("reader-failed", "reader" to reader, "reason" to reason, "revision" to mirror.revision)
     }
 
-    /** Records that the documents, with the changes just received, include every change made before [confirmedAt]. */
-    private fun onConfirmed(confirmedAt: Duration) {
+    /**
+     * Records that the documents, with the changes just received up to [revision], include every change made before
+     * [confirmedAt].
+     */
+    private fun onConfirmed(confirmedAt: Duration, revision: StoreRevision) {
         val now = loop.now()
         if (suspensionDetector.suspended()) suspensionDetector.reset()
         lastAnswerAt = now
         lastConfirmedAt = maxOf(confirmedAt, lastConfirmedAt ?: confirmedAt)
-        availability.onAnswered(now)?.let { log.event("store-regained", "after" to it, "revision" to mirror.revision) }
+        val outage = availability.onAnswered(now, revision) ?: return
+        log.event("store-regained", "after" to outage, "revision" to revision)
     }
 
     private suspend fun onStoreFailure(failure: StoreFailure) {
--- a/gateway/src/main/kotlin/boragering/gateway/StoreAvailability.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/StoreAvailability.kt
@@ -1,17 +1,19 @@
 package boragering.gateway
 
+import boragering.core.StoreRevision
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
  * Tracks when the store answered this gateway, and whether it answered others in the meantime. Entries of live
- * instances expire only if the store was unreachable for all of them for some time. A removal shortly after such an
- * outage therefore does not prove that the instance has ended. Times are those of the monotonic clock.
+ * instances expire only if the store was unreachable for all of them for some time. A removal that the first answer
+ * after such an outage reports therefore does not prove that the instance has ended; a later one does. Times are those
+ * of the monotonic clock.
  */
 internal class StoreAvailability {
     private var reachableElsewhereAt: Duration? = null
-    private var expiryOutageEndedAt: Duration? = null
+    private var recovery: Recovery? = null
 
     /** When the store stopped answering; `null` while it answers. */
     var lostAt: Duration? = null
@@ -42,29 +44,52 @@
         if (lostAt != null && reachableElsewhereAt == null) reachableElsewhereAt = now
     }
 
-    /** Records that the store answers at [now]. Returns the duration of the outage that this ends, or `null`. */
-    fun onAnswered(now: Duration): Duration? {
+    /**
+     * Records that the store answers at [now] with its state at [revision]. Returns the duration of the outage that
+     * this ends, or `null`.
+     */
+    fun onAnswered(now: Duration, revision: StoreRevision): Duration? {
         val since = lostAt
         if (since != null && regainedAt != null) answeredBefore = true
         if (since == null && regainedAt == null) answeredAtOnce = true
         if (since != null || regainedAt == null) regainedAt = now
-        if (since != null && now - since >= MIN_EXPIRY_OUTAGE && !reachedByOthers(now)) expiryOutageEndedAt = now
+        if (since != null && entriesMayExpire(since, now)) recovery = Recovery(now, revision)
         lostAt = null
         return since?.let { now - it }
     }
 
-    /** Whether entries that disappear at [now] may have expired because of an outage of the store. */
-    fun entriesMayReturn(now: Duration): Boolean =
-        expiryOutageEndedAt.let { it != null && now - it < ENTRY_RETURN_TIME }
+    /**
+     * The time until which an entry may be written again whose removal at [revision] becomes known at [now]; `null` if
+     * the removal shows that the instance has ended.
+     */
+    fun entryReturnDeadline(revision: StoreRevision, now: Duration): Duration? {
+        val since = lostAt
+        val returnedAt = when {
+            since == null -> recovery?.takeIf { revision <= it.revision }?.at
+            // Another gateway passes on what it read when the store answered it again.
+            entriesMayExpire(since, now) -> reachableElsewhereAt ?: now
+            else -> null
+        }
+        return returnedAt?.plus(ENTRY_RETURN_TIME)?.takeIf { it > now }
+    }
+
+    /** Whether entries may have expired because of the outage that began at [since] and lasts until [now]. */
+    private fun entriesMayExpire(since: Duration, now: Duration): Boolean =
+        now - since >= MIN_EXPIRY_OUTAGE && !reachedByOthers(now)
 
     /** Whether the store answered others during the outage; others may only have noticed the end of it earlier. */
     private fun reachedByOthers(now: Duration): Boolean =
         reachableElsewhereAt.let { it != null && now - it > MAX_NOTICE_DELAY }
 
+    /** The first answer after an outage in which entries may have expired, with the store's state at [revision]. */
+    private class Recovery(val at: Duration, val revision: StoreRevision)
+
     private companion object {
         /** No entry expires in a shorter outage. */
         val MIN_EXPIRY_OUTAGE = 2.seconds
         val MAX_NOTICE_DELAY = 1_500.milliseconds
-        val ENTRY_RETURN_TIME = 2_500.milliseconds
+
+        /** Time within which instances write entries again that expired in an outage. */
+        val ENTRY_RETURN_TIME = 2_300.milliseconds
     }
 }
--- a/gateway/src/test/kotlin/boragering/gateway/StoreAvailabilityTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/StoreAvailabilityTest.kt
@@ -1,17 +1,22 @@
 package boragering.gateway
 
+import boragering.core.StoreRevision
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class StoreAvailabilityTest : DescribeSpec({
-    fun lostFrom10To(end: Int, availability: StoreAvailability = StoreAvailability()): StoreAvailability =
-        availability.apply {
-            onAnswered(1.seconds)
-            onLost(10.seconds)
-            onAnswered(end.seconds)
-        }
+    val before = StoreRevision(100)
+    val atReturn = StoreRevision(160)
+    val afterReturn = StoreRevision(161)
+
+    fun answering() = StoreAvailability().apply { onAnswered(1.seconds, before) }
+
+    fun lostFrom10To(end: Int): StoreAvailability = answering().apply {
+        onLost(10.seconds)
+        onAnswered(end.seconds, atReturn)
+    }
 
     describe("the documents from before an outage of the store") {
         it("are known after the outage (guards against a planner that waits as long as after a start)") {
@@ -21,50 +26,63 @@
         it("are not known after a start during an outage (guards against a planner that trusts the first list)") {
             val availability = StoreAvailability()
             availability.onLost(1.seconds)
-            availability.onAnswered(2.seconds)
+            availability.onAnswered(2.seconds, before)
             availability.answeredAtOnce shouldBe false
         }
 
         it("are not known after the first answer (guards against decisions about groups by a partial list)") {
-            StoreAvailability().apply { onAnswered(1.seconds) }.answeredBefore shouldBe false
+            answering().answeredBefore shouldBe false
         }
     }
 
-    describe("entries that disappear after an outage of the store") {
-        it("may return if it answered no gateway (guards against the loss of all targets)") {
-            lostFrom10To(end = 16).entriesMayReturn(17.seconds) shouldBe true
+    describe("entries that disappear in an outage of the store") {
+        it("may return for a time after its end (guards against the loss of all targets)") {
+            lostFrom10To(end = 16).entryReturnDeadline(atReturn, 16.seconds) shouldBe 18_300.milliseconds
+        }
+
+        it("may not return for longer if their removal is learned late (guards against entries held for ever)") {
+            lostFrom10To(end = 16).entryReturnDeadline(atReturn, 18.seconds) shouldBe 18_300.milliseconds
+            lostFrom10To(end = 16).entryReturnDeadline(atReturn, 19.seconds) shouldBe null
+        }
+
+        it("may return if another gateway passes their removal on (guards against the loss of all targets)") {
+            val availability = answering()
+            availability.onLost(10.seconds)
+            availability.onReachableElsewhere(15_700.milliseconds)
+            availability.entryReturnDeadline(atReturn, 16.seconds) shouldBe 18.seconds
         }
 
         it("have ended if it answered other gateways (guards against requests to an instance that has left)") {
-            val availability = StoreAvailability()
-            availability.onAnswered(1.seconds)
+            val availability = answering()
             availability.onLost(10.seconds)
             availability.onReachableElsewhere(10.4.seconds)
-            availability.onAnswered(16.seconds)
-            availability.entriesMayReturn(17.seconds) shouldBe false
+            availability.entryReturnDeadline(atReturn, 15.seconds) shouldBe null
+            availability.onAnswered(16.seconds, atReturn)
+            availability.entryReturnDeadline(atReturn, 16.seconds) shouldBe null
         }
 
         it("may return if another gateway noticed the end just before (guards against a race at the end)") {
-            val availability = StoreAvailability()
-            availability.onAnswered(1.seconds)
+            val availability = answering()
             availability.onLost(10.seconds)
             availability.onReachableElsewhere(15_700.milliseconds)
-            availability.onAnswered(16.seconds)
-            availability.entriesMayReturn(17.seconds) shouldBe true
+            availability.onAnswered(16.seconds, atReturn)
+            availability.entryReturnDeadline(atReturn, 16.seconds) shouldBe 18_300.milliseconds
         }
 
         it("have ended if the outage was short (guards against entries held after each failed call)") {
-            lostFrom10To(end = 11).entriesMayReturn(12.seconds) shouldBe false
+            lostFrom10To(end = 11).entryReturnDeadline(atReturn, 11.seconds) shouldBe null
         }
+    }
 
-        it("have ended some time after the outage (guards against entries held for ever)") {
-            lostFrom10To(end = 16).entriesMayReturn(19.seconds) shouldBe false
+    describe("entries that disappear after the end of an outage of the store") {
+        it("have ended (guards against requests to an instance that leaves shortly after an outage)") {
+            lostFrom10To(end = 16).entryReturnDeadline(afterReturn, 16.5.seconds) shouldBe null
         }
     }
 
     describe("a first answer") {
         it("does not end an outage (guards against entries held after each start)") {
-            StoreAvailability().apply { onAnswered(1.seconds) }.entriesMayReturn(2.seconds) shouldBe false
+            answering().entryReturnDeadline(before, 1.seconds) shouldBe null
         }
     }
 })
