Notice the return of a silent store within a second and a half

Cause: while the store was away, each call still waited up to 2 s for changes, and 1 s more for an answer; one that began just before the return noticed nothing of it.

Change: calls do not wait for changes while the store is lost, so that an unanswered one ends after 1 s. DocumentReplicaTest failed before with 9 gateways (2.0 s are allowed) and passes with 9 and 24; with 24 it passed before, since readers wait for 0.4 s. Ruled out: shorter waits at all times, which would cost calls to the store on quiet deployments.

--- a/gateway/src/main/kotlin/boragering/gateway/DocumentFollower.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DocumentFollower.kt
@@ -72,6 +72,14 @@
 
     override fun onReachableElsewhere() = availability.onReachableElsewhere(loop.now())
 
+    /** Time for which a call waits for changes. A call that waits while the store is away notices its return late. */
+    private val storeWaitTime: Duration
+        get() = when {
+            availability.lostAt != null -> Duration.ZERO
+            sourceSelector.relayEnabled -> RELAYING_STORE_WAIT_TIME
+            else -> STORE_WAIT_TIME
+        }
+
     /** Keeps the documents up to date until cancelled. */
     suspend fun run() {
         while (true) {
@@ -103,7 +111,7 @@
         loop.now().let { now -> lastReadAt?.let { delay((it + readInterval() - now).coerceAtLeast(Duration.ZERO)) } }
         val requestedAt = loop.now()
         lastReadAt = requestedAt
-        val wait = if (sourceSelector.relayEnabled) RELAYING_STORE_WAIT_TIME else STORE_WAIT_TIME
+        val wait = storeWaitTime
         val result = feeds.store.changes(PREFIX, mirror.revision, wait)
         when (val failure = result.leftOrNull()) {
             null -> result.onRight { changes ->
--- a/gateway/src/test/kotlin/boragering/gateway/DocumentReplicaTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/DocumentReplicaTest.kt
@@ -23,11 +23,14 @@
             gateways.filterIndexed { index, _ -> index !in except }.forEach { it.value(key) shouldBe value }
         }
 
-    /** Runs 24 gateways while [action] runs, which begins when all gateways know the first document. */
-    suspend fun withRunningGateways(action: suspend ReplicaNetwork.(SharedDocuments) -> Unit) = coroutineScope {
+    /** Runs [count] gateways while [action] runs, which begins when all gateways know the first document. */
+    suspend fun withRunningGateways(
+        count: Int = 24,
+        action: suspend ReplicaNetwork.(SharedDocuments) -> Unit,
+    ) = coroutineScope {
         val documents = SharedDocuments()
         documents.write("route", "old")
-        ReplicaNetwork(count = 24, documents).use { network ->
+        ReplicaNetwork(count, documents).use { network ->
             val job: Job = CoroutineScope(Dispatchers.Default).launch { network.run(this, documents) }
             eventually(5.seconds) { network.gateways.forEach { it.value("route") shouldBe "old" } }
             network.action(documents)
@@ -35,6 +38,13 @@
         }
     }
 
+    suspend fun ReplicaNetwork.awaitCallOfEach() {
+        val callsBefore = gateways.associateWith { it.feed.calls.get() }
+        eventually(10.seconds) {
+            callsBefore.forEach { (gateway, calls) -> gateway.feed.calls.get() shouldBeGreaterThan calls }
+        }
+    }
+
     /** Indexes of the gateways that keep reading the store, measured until one of them has made [reads] reads. */
     suspend fun ReplicaNetwork.readers(reads: Int): List<Int> {
         val callsBefore = gateways.map { it.feed.calls.get() }
@@ -79,6 +89,19 @@
             }
         }
 
+        listOf(9, 24).forEach { count ->
+            it("reach $count gateways in time after a silent store returns (guards against calls begun before that)") {
+                withRunningGateways(count) { documents ->
+                    gateways.forEach { it.feed.silent = true }
+                    eventually(10.seconds) { gateways.forEach { it.reachesStore() shouldBe false } }
+                    awaitCallOfEach()
+                    gateways.forEach { it.feed.silent = false }
+                    documents.write("route", "new")
+                    awaitValue("route", "new")
+                }
+            }
+        }
+
         it("reach all gateways in time when a reader cannot reach the store (guards against stale relayed documents)") {
             withRunningGateways { documents ->
                 val unconnected = readers(reads = 6).first()
--- a/gateway/src/test/kotlin/boragering/gateway/ReplicaNetwork.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/ReplicaNetwork.kt
@@ -26,6 +26,7 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** In-memory documents that many gateways replicate. */
 internal class SharedDocuments {
@@ -51,9 +52,13 @@
         @Volatile
         var unreachable = false
 
+        /** When set at the time of a call, that call is not answered. */
+        @Volatile
+        var silent = false
+
         override suspend fun read(prefix: String): Either<StoreFailure, DocumentSnapshot> {
             calls.incrementAndGet()
-            if (unreachable) return StoreFailure.NotApplied("cut").left()
+            failure(Duration.ZERO)?.let { return it.left() }
             val all = after(StoreRevision.NONE)
             val documents = all.changes.filterIsInstance<DocumentChange.Written>().associateBy { it.key }
             return DocumentSnapshot(documents.values.map { it.document }.toPersistentList(), all.revision).right()
@@ -65,10 +70,21 @@
             wait: Duration,
         ): Either<FeedFailure, DocumentChanges> {
             calls.incrementAndGet()
-            if (unreachable) return FeedFailure.Unavailable(StoreFailure.NotApplied("cut")).left()
+            failure(wait)?.let { return FeedFailure.Unavailable(it).left() }
             if (after(after).changes.isEmpty()) delay(wait)
             return after(after).right()
         }
+
+        private suspend fun failure(wait: Duration): StoreFailure? = when {
+            unreachable -> StoreFailure.NotApplied("cut")
+            silent -> StoreFailure.Uncertain("silent").also { delay(wait + CALL_TIMEOUT) }
+            else -> null
+        }
+    }
+
+    private companion object {
+        /** Time that a call without an answer takes, besides the time for which it waits for changes. */
+        val CALL_TIMEOUT = 1.seconds
     }
 }
 
@@ -107,6 +123,8 @@
 
         suspend fun value(key: String): String? = withContext(loop.dispatcher) { replica.mirror[key]?.value }
 
+        suspend fun reachesStore(): Boolean = withContext(loop.dispatcher) { replica.follower.storeReachable }
+
         fun close() = loop.close()
     }
 
