Measure an outage of the store from the last answer

What callers would see: in a silent outage of three to five seconds all entries run out, but the first call fails only after 3 s; the outage then seems to last less than 2 s, the removals count as departures, and every target is dropped until its instance lists itself again.

Change: the outage counts from the last answer, and entries may have expired after 2.4 s of it (three heartbeats of 1.2 s, the first up to one before). The new case of StoreAvailabilityTest (first failure at 12.9 s, answer at 13.2 s, last answer at 9.9 s) got no deadline before. The other cases now have an answer shortly before the loss, as there is while the store answers; what they check is unchanged. Ruled out: a lower bound from the first failure, which reacts to each reset of a connection.

--- a/gateway/src/main/kotlin/boragering/gateway/StoreAvailability.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/StoreAvailability.kt
@@ -3,7 +3,6 @@
 import boragering.core.StoreRevision
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Tracks when the store answered this gateway, and whether it answered others in the meantime. Entries of live
@@ -12,6 +11,7 @@
  * of the monotonic clock.
  */
 internal class StoreAvailability {
+    private var lastAnswerAt: Duration? = null
     private var reachableElsewhereAt: Duration? = null
     private var recovery: Recovery? = null
 
@@ -53,8 +53,9 @@
         if (since != null && regainedAt != null) answeredBefore = true
         if (since == null && regainedAt == null) answeredAtOnce = true
         if (since != null || regainedAt == null) regainedAt = now
-        if (since != null && entriesMayExpire(since, now)) recovery = Recovery(now, revision)
+        if (since != null && entriesMayExpire(now)) recovery = Recovery(now, revision)
         lostAt = null
+        lastAnswerAt = now
         return since?.let { now - it }
     }
 
@@ -63,19 +64,21 @@
      * the removal shows that the instance has ended.
      */
     fun entryReturnDeadline(revision: StoreRevision, now: Duration): Duration? {
-        val since = lostAt
         val returnedAt = when {
-            since == null -> recovery?.takeIf { revision <= it.revision }?.at
+            lostAt == null -> recovery?.takeIf { revision <= it.revision }?.at
             // Another gateway passes on what it read when the store answered it again.
-            entriesMayExpire(since, now) -> reachableElsewhereAt ?: now
+            entriesMayExpire(now) -> reachableElsewhereAt ?: now
             else -> null
         }
         return returnedAt?.plus(ENTRY_RETURN_TIME)?.takeIf { it > now }
     }
 
-    /** Whether entries may have expired because of the outage that began at [since] and lasts until [now]. */
-    private fun entriesMayExpire(since: Duration, now: Duration): Boolean =
-        now - since >= MIN_EXPIRY_OUTAGE && !reachedByOthers(now)
+    /**
+     * Whether entries may have expired because of the outage that lasts until [now]. It may have begun right after the
+     * last answer, long before the first call that failed.
+     */
+    private fun entriesMayExpire(now: Duration): Boolean =
+        lastAnswerAt.let { it != null && now - it >= MIN_EXPIRY_OUTAGE } && !reachedByOthers(now)
 
     /** Whether the store answered others during the outage; others may only have noticed the end of it earlier. */
     private fun reachedByOthers(now: Duration): Boolean =
@@ -85,8 +88,8 @@
     private class Recovery(val at: Duration, val revision: StoreRevision)
 
     private companion object {
-        /** No entry expires in a shorter outage. */
-        val MIN_EXPIRY_OUTAGE = 2.seconds
+        /** No entry expires in a shorter outage: that takes three heartbeats, the first of them before the outage. */
+        val MIN_EXPIRY_OUTAGE = 2_400.milliseconds
         val MAX_NOTICE_DELAY = 1_500.milliseconds
 
         /** Time within which instances write entries again that expired in an outage. */
--- a/gateway/src/test/kotlin/boragering/gateway/StoreAvailabilityTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/StoreAvailabilityTest.kt
@@ -11,7 +11,10 @@
     val atReturn = StoreRevision(160)
     val afterReturn = StoreRevision(161)
 
-    fun answering() = StoreAvailability().apply { onAnswered(1.seconds, before) }
+    fun answering() = StoreAvailability().apply {
+        onAnswered(1.seconds, before)
+        onAnswered(9.9.seconds, before)
+    }
 
     fun lostFrom10To(end: Int): StoreAvailability = answering().apply {
         onLost(10.seconds)
@@ -69,6 +72,13 @@
             availability.entryReturnDeadline(atReturn, 16.seconds) shouldBe 18_300.milliseconds
         }
 
+        it("may return if the first failure came late in it (guards against the loss of all targets)") {
+            val availability = answering()
+            availability.onLost(12.9.seconds)
+            availability.onAnswered(13.2.seconds, atReturn)
+            availability.entryReturnDeadline(atReturn, 13.2.seconds) shouldBe 15.5.seconds
+        }
+
         it("have ended if the outage was short (guards against entries held after each failed call)") {
             lostFrom10To(end = 11).entryReturnDeadline(atReturn, 11.seconds) shouldBe null
         }
@@ -82,7 +92,8 @@
 
     describe("a first answer") {
         it("does not end an outage (guards against entries held after each start)") {
-            answering().entryReturnDeadline(before, 1.seconds) shouldBe null
+            StoreAvailability().apply { onAnswered(1.seconds, before) }
+                .entryReturnDeadline(before, 1.seconds) shouldBe null
         }
     }
 })
