Read the store after a reader has failed

Change: a gateway whose documents were not confirmed since its reader failed reads the store next, then a reader again. Cost: one read of the store by each gateway of a lost reader. Ruled out: a lower age at which all read the store, which readers that wait 0.4 s and are read every 0.35 s would reach all the time.

--- a/gateway/src/main/kotlin/boragering/gateway/DocumentSourceSelector.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DocumentSourceSelector.kt
@@ -20,8 +20,8 @@
 /**
  * Selects the source from which a gateway reads document changes. To limit the load of hundreds of gateways on the
  * store, a few gateways in each region (readers) read the store, and the others read from them. A gateway whose
- * documents have not been confirmed for some time reads the store itself, whatever the state of the readers. Not thread
- * safe.
+ * documents have not been confirmed for some time, or not since its reader failed, reads the store itself, whatever the
+ * state of the readers. Not thread safe.
  *
  * @param mayPlan whether this gateway is the planner or may be; the planner acts on the documents and therefore reads
  *   them itself.
@@ -30,6 +30,7 @@
     private val avoidedUntil = HashMap<DaemonId, Duration>()
     private var cachedLive: List<Registration>? = null
     private var readers = emptyList<Registration>()
+    private var lastFailureAt: Duration? = null
 
     /** Whether readers relay changes to other gateways; they then have to confirm their documents continuously. */
     val relayEnabled: Boolean get() = peers.live.size > MAX_DIRECT_READERS
@@ -39,7 +40,7 @@
 
     /** Selects the source at [now] for a gateway whose documents were last confirmed at [confirmedAt]. */
     fun select(now: Duration, confirmedAt: Duration?): DocumentSource {
-        if (readsStore || confirmedAt == null || now - confirmedAt > MAX_CONFIRMATION_AGE) return DocumentSource.Store
+        if (readsStore || confirmedAt == null || outdated(confirmedAt, now)) return DocumentSource.Store
         val usable = readers().filter { avoidedUntil[it.daemon].let { until -> until == null || until <= now } }
         val own = peers.self
         // A reader in the same availability zone avoids traffic between zones. Gateways in a zone without a reader
@@ -53,8 +54,13 @@
     fun markFailed(reader: DaemonId, now: Duration) {
         avoidedUntil.values.removeIf { it <= now }
         avoidedUntil[reader] = now + AVOIDANCE_TIME
+        lastFailureAt = now
     }
 
+    /** A second reader that fails, too, would delay a change beyond the time allowed for it. */
+    private fun outdated(confirmedAt: Duration, now: Duration): Boolean =
+        now - confirmedAt > MAX_CONFIRMATION_AGE || lastFailureAt.let { it != null && confirmedAt < it }
+
     private fun readers(): List<Registration> {
         val live = peers.live
         if (live !== cachedLive) {
