Date an outage of the store by the first call that it left unanswered

Change: an outage counts from the start of the first call that timed out, and from the failure itself if a call fails while it waits.

--- a/gateway/src/main/kotlin/boragering/gateway/DocumentFollower.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DocumentFollower.kt
@@ -99,7 +99,7 @@
 
     private suspend fun readAll() {
         val requestedAt = loop.now()
-        feeds.store.read(PREFIX).fold({ onStoreFailure(it) }, { snapshot ->
+        feeds.store.read(PREFIX).fold({ onStoreFailure(it, since = requestedAt) }, { snapshot ->
             onConfirmed(requestedAt, snapshot.revision)
             mirror.replaceAll(snapshot)
             log.event("store-read", "revision" to snapshot.revision, "documents" to snapshot.documents.size)
@@ -124,7 +124,11 @@
                 log.event("store-history-lost", "revision" to mirror.revision)
                 readAll()
             }
-            is FeedFailure.Unavailable -> onStoreFailure(failure.cause)
+            is FeedFailure.Unavailable -> {
+                // A call that fails while it waits says nothing about the time before, in which no answer was due.
+                val now = loop.now()
+                onStoreFailure(failure.cause, since = if (now - requestedAt < wait) now else requestedAt)
+            }
         }
     }
 
@@ -161,8 +165,8 @@
         log.event("store-regained", "after" to outage, "revision" to revision)
     }
 
-    private suspend fun onStoreFailure(failure: StoreFailure) {
-        if (availability.onLost(loop.now())) {
+    private suspend fun onStoreFailure(failure: StoreFailure, since: Duration) {
+        if (availability.onLost(loop.now(), since)) {
             log.event("store-lost", "reason" to failure.reason, "revision" to mirror.revision)
         }
         askPeer()
--- a/gateway/src/main/kotlin/boragering/gateway/StoreAvailability.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/StoreAvailability.kt
@@ -11,7 +11,7 @@
  * of the monotonic clock.
  */
 internal class StoreAvailability {
-    private var lastAnswerAt: Duration? = null
+    private var outageSince = Duration.ZERO
     private var reachableElsewhereAt: Duration? = null
     private var recovery: Recovery? = null
 
@@ -31,9 +31,13 @@
     var regainedAt: Duration? = null
         private set
 
-    /** Records that the store does not answer at [now]. Returns whether an outage begins. */
-    fun onLost(now: Duration): Boolean {
+    /**
+     * Records at [now] that the store does not answer, which it may not have done since [since]. Returns whether an
+     * outage begins.
+     */
+    fun onLost(now: Duration, since: Duration): Boolean {
         if (lostAt != null) return false
+        outageSince = since
         lostAt = now
         reachableElsewhereAt = null
         return true
@@ -55,7 +59,6 @@
         if (since != null || regainedAt == null) regainedAt = now
         if (since != null && entriesMayExpire(now)) recovery = Recovery(now, revision)
         lostAt = null
-        lastAnswerAt = now
         return since?.let { now - it }
     }
 
@@ -73,12 +76,9 @@
         return returnedAt?.plus(ENTRY_RETURN_TIME)?.takeIf { it > now }
     }
 
-    /**
-     * Whether entries may have expired because of the outage that lasts until [now]. It may have begun right after the
-     * last answer, long before the first call that failed.
-     */
+    /** Whether entries may have expired because of the outage that lasts until [now]. */
     private fun entriesMayExpire(now: Duration): Boolean =
-        lastAnswerAt.let { it != null && now - it >= MIN_EXPIRY_OUTAGE } && !reachedByOthers(now)
+        now - outageSince >= MIN_EXPIRY_OUTAGE && !reachedByOthers(now)
 
     /** Whether the store answered others during the outage; others may only have noticed the end of it earlier. */
     private fun reachedByOthers(now: Duration): Boolean =
