Take a position in the store for an era and a revision

Cause: a revision was taken for a position in the store's history. After a restore the numbers go back and are given out again: reads with the present state were dropped as older and still counted as confirmations, a watch from a number that was known again went on in another history, writes and leases could meet others with the same numbers, and the planner's fencing number went back.

Change: StoreRevision and LeaseId carry the era that the store tells; positions compare by era first. Everything that holds one follows: the mirror and its history, what processes tell each other (new fields with defaults), expected values, leases, the planner's lock, which ends with the era, and its fencing number. A read that is older than what is known no longer confirms anything. Answers about quarantined parts are remembered for 60 s, since an older backup shows their documents again. Beside it, the history handed to other processes is no longer assumed to be sorted: a read of several pages could hide changes from them (its own test in DocumentMirrorTest).

Ruled out: to treat each lower revision as a restore, which a read that was overtaken by a peer's documents looks like; to apply the restored state as it is, which sends requests to instances that were leaving.

--- a/core/src/main/kotlin/boragering/core/Store.kt
+++ b/core/src/main/kotlin/boragering/core/Store.kt
@@ -54,22 +54,36 @@
     ): Either<StoreFailure, PersistentList<StoredValue>>
 }
 
-/** Position in the key-value service's history; it grows with each write. */
-@JvmInline
-value class StoreRevision(val value: Long) : Comparable<StoreRevision> {
-    override fun compareTo(other: StoreRevision): Int = value.compareTo(other.value)
+/**
+ * Position in the key-value service's history; it grows with each write. A service that is restored from a backup gives
+ * revision numbers out again, in a new era.
+ *
+ * @property value number of the revision within its [era].
+ * @property era how often the service was restored, as it counts; zero if it does not tell.
+ */
+data class StoreRevision(val value: Long, val era: Long = 0) : Comparable<StoreRevision> {
+    /**
+     * Number that grows with the position, also when the service is restored from a backup that lacks fewer than
+     * [MAX_LOST_REVISIONS] revisions.
+     */
+    val fencingToken: Long get() = era * MAX_LOST_REVISIONS + value
+
+    override fun compareTo(other: StoreRevision): Int = compareValuesBy(this, other, { it.era }, { it.value })
 
-    override fun toString(): String = value.toString()
+    override fun toString(): String = if (era == 0L) "$value" else "$era/$value"
 
     companion object {
         /** The revision of a key that does not exist. */
         val NONE = StoreRevision(0)
+        private const val MAX_LOST_REVISIONS = 10_000_000L
     }
 }
 
-/** Identifies a lease of the key-value service. */
-@JvmInline
-value class LeaseId(val value: Long)
+/**
+ * Identifies a lease of the key-value service. A service that is restored from a backup may give the number [value] out
+ * again, in a new [era].
+ */
+data class LeaseId(val value: Long, val era: Long = 0)
 
 /** A key with its value and the revision of its last modification. */
 data class StoredValue(val key: String, val value: String, val revision: StoreRevision)
--- a/core/src/main/kotlin/boragering/core/membership/PeerMessage.kt
+++ b/core/src/main/kotlin/boragering/core/membership/PeerMessage.kt
@@ -112,10 +112,10 @@
     @SerialName("target-rate-ended")
     data class TargetRateEnded(val head: InstanceId, val startedAt: Long?) : PeerMessage
 
-    /** Requests the store's documents that changed after revision [after], because the store does not answer. */
+    /** Requests the store's documents that changed after [after] of [era], because the store does not answer. */
     @Serializable
     @SerialName("document-request")
-    data class DocumentRequest(val after: Long) : PeerMessage
+    data class DocumentRequest(val after: Long, val era: Long = 0) : PeerMessage
 
     /**
      * The store's documents that changed after revision [after], up to [revision]; all documents if [after] is zero.
@@ -123,6 +123,7 @@
      *
      * @property removed revisions at which documents were removed, by key.
      * @property storeAnswers whether the store answers the sender.
+     * @property era era of the store to which [after], [revision] and the revisions of [removed] belong.
      */
     @Serializable
     @SerialName("documents")
@@ -132,12 +133,13 @@
         val written: List<StoreDocument>,
         val removed: Map<String, Long>,
         val storeAnswers: Boolean,
+        val era: Long = 0,
     ) : PeerMessage
 
-    /** Requests the changes to the store's documents after revision [after], once the recipient knows of any. */
+    /** Requests the changes to the store's documents after [after] of [era], once the recipient knows of any. */
     @Serializable
     @SerialName("changes-request")
-    data class ChangesRequest(val number: Long, val after: Long) : PeerMessage
+    data class ChangesRequest(val number: Long, val after: Long, val era: Long = 0) : PeerMessage
 
     /**
      * Answers the [ChangesRequest] with the same [number].
@@ -148,6 +150,7 @@
      * @property heldMilliseconds time for which the sender waited for a change before it sent this answer.
      * @property changes the packed changes after the requested revision; `null` if the sender does not know all of
      * them.
+     * @property era era of the store to which [revision] belongs.
      */
     @Serializable
     @SerialName("changes-answer")
@@ -157,6 +160,7 @@
         val ageMilliseconds: Long?,
         val heldMilliseconds: Long,
         val changes: ByteArray?,
+        val era: Long = 0,
     ) : PeerMessage
 
     /** The instances as the planner observed them itself while the store answers no daemon. */
@@ -188,7 +192,7 @@
 
 /** A document of the store as daemons transfer it to each other. */
 @Serializable
-data class StoreDocument(val key: String, val content: String, val revision: Long)
+data class StoreDocument(val key: String, val content: String, val revision: Long, val era: Long = 0)
 
 /** A peer message with a timestamp from the sender's hybrid logical clock. */
 @Serializable
--- a/gateway/src/main/kotlin/boragering/gateway/ChangeCodec.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ChangeCodec.kt
@@ -40,12 +40,15 @@
     }.mapLeft { "the changes cannot be read: ${it.message}" }
 
     private fun toEncoded(change: DocumentChange): EncodedChange = when (change) {
-        is DocumentChange.Written -> EncodedChange(change.key, change.revision.value, change.document.value)
-        is DocumentChange.Removed -> EncodedChange(change.key, change.revision.value, null)
+        is DocumentChange.Written -> encoded(change, change.document.value)
+        is DocumentChange.Removed -> encoded(change, content = null)
     }
 
+    private fun encoded(change: DocumentChange, content: String?) =
+        EncodedChange(change.key, change.revision.value, content, change.revision.era)
+
     private fun toChange(encoded: EncodedChange): DocumentChange {
-        val revision = StoreRevision(encoded.revision)
+        val revision = StoreRevision(encoded.revision, encoded.era)
         val content = encoded.content ?: return DocumentChange.Removed(encoded.key, revision)
         return DocumentChange.Written(StoredValue(encoded.key, content, revision))
     }
@@ -56,4 +59,4 @@
 
 /** One encoded change; [content] is `null` if the document was removed. */
 @Serializable
-private data class EncodedChange(val key: String, val revision: Long, val content: String?)
+private data class EncodedChange(val key: String, val revision: Long, val content: String?, val era: Long = 0)
--- a/gateway/src/main/kotlin/boragering/gateway/DocumentFollower.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DocumentFollower.kt
@@ -72,6 +72,12 @@
 
     override fun onReachableElsewhere() = availability.onReachableElsewhere(loop.now())
 
+    override fun onRestored(revision: StoreRevision) {
+        log.event("store-restored", "known" to mirror.revision, "revision" to revision)
+        availability.onRestored(loop.now(), revision)
+        loop.after(RestoredDocuments.WITHHOLD_TIME + RELEASE_DELAY) { mirror.releaseWithheld() }
+    }
+
     /** Time for which a call waits for changes. A call that waits while the store is away notices its return late. */
     private val storeWaitTime: Duration
         get() = when {
@@ -83,7 +89,7 @@
     /** Keeps the documents up to date until cancelled. */
     suspend fun run() {
         while (true) {
-            if (mirror.revision.value == 0L) readAll() else followOnce()
+            if (mirror.revision == StoreRevision.NONE) readAll() else followOnce()
         }
     }
 
@@ -100,9 +106,11 @@
     private suspend fun readAll() {
         val requestedAt = loop.now()
         feeds.store.read(PREFIX).fold({ onStoreFailure(it, since = requestedAt) }, { snapshot ->
-            onConfirmed(requestedAt, snapshot.revision)
-            mirror.replaceAll(snapshot)
-            log.event("store-read", "revision" to snapshot.revision, "documents" to snapshot.documents.size)
+            if (snapshot.revision >= mirror.revision) onConfirmed(requestedAt, snapshot.revision)
+            if (mirror.restoredBefore(snapshot.revision)) onRestored(snapshot.revision)
+            val replaced = mirror.replaceAll(snapshot)
+            val documents = snapshot.documents.size
+            log.event("store-read", "revision" to snapshot.revision, "documents" to documents, "replaced" to replaced)
         })
     }
 
@@ -133,23 +141,16 @@
     }
 
     private suspend fun followReader(reader: DaemonId) {
-        feeds.peers.changes(reader, mirror.revision).fold({ onReaderFailure(reader, it) }, { relayed ->
+        val failure = feeds.peers.changes(reader, mirror.revision).fold({ it }, { relayed ->
             mirror.apply(relayed.changes)
-            val confirmedAt = relayed.confirmedAt
-            if (confirmedAt != null && loop.now() - confirmedAt <= MAX_READER_AGE) {
-                onConfirmed(confirmedAt, relayed.changes.revision)
-            } else {
-                onReaderFailure(
-                    reader,
-                    "its last confirmation is ${confirmedAt?.let { loop.now() - it } ?: "not known"} old"
-                )
+            val age = relayed.confirmedAt?.let { loop.now() - it }
+            if (age != null && age <= MAX_READER_AGE) {
+                return onConfirmed(loop.now() - age, relayed.changes.revision)
             }
+            "its last confirmation is ${age ?: "not known"} old"
         })
-    }
-
-    private fun onReaderFailure(reader: DaemonId, reason: String) {
         sourceSelector.markFailed(reader, loop.now())
-        log.event("reader-failed", "reader" to reader, "reason" to reason, "revision" to mirror.revision)
+        log.event("reader-failed", "reader" to reader, "reason" to failure, "revision" to mirror.revision)
     }
 
     /**
@@ -183,6 +184,9 @@
         /** [STORE_WAIT_TIME] while readers relay changes, since other gateways wait for a reader's confirmations. */
         val RELAYING_STORE_WAIT_TIME = 400.milliseconds
         val RETRY_INTERVAL = 250.milliseconds
+
+        /** Makes up for timers that fire early. */
+        val RELEASE_DELAY = 50.milliseconds
         val RECENT_ANSWER_TIME = 3.seconds
 
         /** Age of a reader's confirmation above which another source is selected. */
--- a/gateway/src/main/kotlin/boragering/gateway/DocumentMirror.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DocumentMirror.kt
@@ -4,6 +4,7 @@
 import boragering.core.StoredValue
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
+import kotlin.time.Duration
 
 /** Receives the changes of a [DocumentMirror] in the order in which they are applied. */
 fun interface DocumentMirrorListener {
@@ -11,21 +12,33 @@
     fun onChange(change: DocumentChange)
 }
 
-/** Decides which changes of a document are irrelevant. */
-fun interface DocumentEquivalence {
+/** What a [DocumentMirror] has to know of the contents of documents. */
+fun interface DocumentRules {
     /** Whether [written] is equivalent to [known], an earlier version of the same document. */
     fun areEquivalent(known: StoredValue, written: StoredValue): Boolean
+
+    /** Whether the document with [key] is written again by its writer after the store was restored from a backup. */
+    fun rewrittenAfterRestore(key: String): Boolean = false
 }
 
 /**
  * A copy of the store's documents whose [revision] never decreases. A new version of a document that is equivalent to
- * the known one counts as unchanged. The most recent changes are kept for other gateways. Used on the event loop only.
+ * the known one counts as unchanged. The most recent changes are kept for other gateways.
+ *
+ * When the store is restored from a backup, its documents replace the known ones, except for versions that are known to
+ * be outdated and that their writers will write again. These are withheld until the document is written, or until
+ * [releaseWithheld]. Used on the event loop only.
+ *
+ * @param now the time of the monotonic clock.
  */
-class DocumentMirror(private val equivalence: DocumentEquivalence = DocumentEquivalence { _, _ -> false }) {
+class DocumentMirror(
+    now: () -> Duration = { Duration.ZERO },
+    private val rules: DocumentRules = DocumentRules { _, _ -> false },
+) {
     private val documents = HashMap<String, StoredValue>()
-    private val history = ArrayDeque<DocumentChange>()
+    private val history = ChangeHistory()
+    private val restoredDocuments = RestoredDocuments(now, rules)
     private val listeners = ArrayList<DocumentMirrorListener>()
-    private var historyStart = StoreRevision.NONE
 
     /** The store revision up to which all changes are applied; [StoreRevision.NONE] before the first read. */
     var revision = StoreRevision.NONE
@@ -39,61 +52,71 @@
     /** The document with [key]; `null` if there is none. */
     operator fun get(key: String): StoredValue? = documents[key]
 
-    /** Replaces all documents by [snapshot] unless it is older. Documents that it lacks count as removed. */
-    fun replaceAll(snapshot: DocumentSnapshot) {
-        if (snapshot.revision < revision) return
-        if (revision == StoreRevision.NONE) historyStart = snapshot.revision
+    /** Whether the store was restored from a backup before it reached [position]. */
+    fun restoredBefore(position: StoreRevision): Boolean =
+        revision != StoreRevision.NONE && position.era > revision.era
+
+    /**
+     * Replaces all documents by [snapshot] unless it is older. Documents that it lacks count as removed. Returns
+     * whether the documents were replaced.
+     */
+    fun replaceAll(snapshot: DocumentSnapshot): Boolean {
+        if (snapshot.revision < revision) return false
+        val restored = restoredBefore(snapshot.revision)
+        if (restored || revision == StoreRevision.NONE) history.restart(snapshot.revision)
         val read = snapshot.documents.mapTo(HashSet()) { it.key }
-        val written = snapshot.documents.sortedBy { it.revision }.map { DocumentChange.Written(it) }
         val removed = documents.keys.filter { it !in read }.map { DocumentChange.Removed(it, snapshot.revision) }
-        (written + removed).forEach(::apply)
+        val written = restoredDocuments.usable(snapshot.documents, restored, documents::get).sortedBy { it.revision }
+        (written.map { DocumentChange.Written(it) } + removed).forEach(::apply)
         revision = snapshot.revision
+        return true
     }
 
-    /** Applies [changes] that follow [revision]. */
+    /** Applies [changes] that follow [revision]. Changes of another era do not follow it and have no effect. */
     fun apply(changes: DocumentChanges) {
-        changes.changes.forEach(::apply)
+        if (revision != StoreRevision.NONE && changes.revision.era != revision.era) return
+        changes.changes.filter { it.revision > revision }.forEach {
+            restoredDocuments.onChanged(it.key)
+            apply(it)
+        }
         revision = maxOf(revision, changes.revision)
     }
 
+    /** Applies the withheld documents whose writers have had enough time to write them again. */
+    fun releaseWithheld() = restoredDocuments.take().forEach { apply(DocumentChange.Written(it)) }
+
     /** The last change of each document after [after]; `null` if the history does not reach back that far. */
-    fun changesSince(after: StoreRevision): DocumentChanges? {
-        if (after < historyStart) return null
-        val changes = LinkedHashMap<String, DocumentChange>()
-        history.asReversed().asSequence().takeWhile { it.revision > after }.forEach { changes.putIfAbsent(it.key, it) }
-        return DocumentChanges(changes.values.reversed().toPersistentList(), revision)
-    }
+    fun changesSince(after: StoreRevision): DocumentChanges? = history.since(after, revision)
 
     /** All documents. */
     fun all(): PersistentList<StoredValue> = documents.values.toPersistentList()
 
     private fun apply(change: DocumentChange) {
-        if (!hasEffect(change)) return
+        val known = documents[change.key]
+        if (change is DocumentChange.Written && known != null && change.document.repeats(known)) {
+            documents[change.key] = change.document
+        } else if (rules.hasEffect(change, known)) {
+            replace(known, change)
+        }
+    }
+
+    private fun replace(known: StoredValue?, change: DocumentChange) {
+        if (known != null) restoredDocuments.onSuperseded(known)
         when (change) {
             is DocumentChange.Written -> documents[change.key] = change.document
             is DocumentChange.Removed -> documents.remove(change.key)
         }
-        addToHistory(change)
+        history.add(change)
         listeners.forEach { it.onChange(change) }
     }
+}
 
-    private fun hasEffect(change: DocumentChange): Boolean {
-        val known = documents[change.key]
-        return when (change) {
-            is DocumentChange.Written ->
-                known == null || known.revision < change.revision && !equivalence.areEquivalent(known, change.document)
-            is DocumentChange.Removed -> known != null && known.revision <= change.revision
-        }
-    }
-
-    private fun addToHistory(change: DocumentChange) {
-        if (change.revision <= historyStart) return
-        history.addLast(change)
-        if (history.size > MAX_HISTORY) historyStart = history.removeFirst().revision
-    }
+/** Whether this is the content of [known] at a later position, as in a store that was restored from a backup. */
+private fun StoredValue.repeats(known: StoredValue): Boolean =
+    revision.era > known.revision.era && value == known.value
 
-    private companion object {
-        /** Number of changes that the history keeps. */
-        const val MAX_HISTORY = 1_500
-    }
+private fun DocumentRules.hasEffect(change: DocumentChange, known: StoredValue?): Boolean = when (change) {
+    is DocumentChange.Written ->
+        known == null || known.revision < change.revision && !areEquivalent(known, change.document)
+    is DocumentChange.Removed -> known != null && known.revision <= change.revision
 }
--- a/gateway/src/main/kotlin/boragering/gateway/DocumentRelay.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DocumentRelay.kt
@@ -42,7 +42,7 @@
     /** Handles a message of another gateway; messages of other components are ignored. */
     fun handle(from: DaemonId, message: PeerMessage) {
         if (message !is PeerMessage.ChangesRequest) return
-        val request = WaitingRequest(message.number, StoreRevision(message.after), loop.now())
+        val request = WaitingRequest(message.number, StoreRevision(message.after, message.era), loop.now())
         val encoded = encode(request.after)
         // A gateway whose own documents may be outdated answers at once, so that the other one turns to another source.
         if (encoded.empty && confirmationAge() != null) hold(from, request) else answer(from, request, encoded)
@@ -88,6 +88,7 @@
             ageMilliseconds = confirmationAge()?.inWholeMilliseconds,
             heldMilliseconds = (loop.now() - request.heldSince).inWholeMilliseconds,
             changes = encoded.changes,
+            era = encoded.upTo.era,
         )
         link.send(to, message)
     }
--- a/gateway/src/main/kotlin/boragering/gateway/DocumentReplica.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DocumentReplica.kt
@@ -2,6 +2,7 @@
 
 import boragering.core.Clock
 import boragering.core.DaemonId
+import boragering.core.StoreRevision
 import boragering.core.membership.PeerLink
 import boragering.core.membership.PeerMessage
 import boragering.core.membership.Peers
@@ -16,13 +17,13 @@
     val mayPlan: Boolean
 }
 
-/** Dependencies of a [DocumentReplica] besides [GatewayPorts]; [equivalence] tells which changes are irrelevant. */
+/** Dependencies of a [DocumentReplica] besides [GatewayPorts]. */
 class ReplicaPorts(
     val store: DocumentFeed,
     val peers: Peers,
     val link: PeerLink,
     val clock: Clock,
-    val equivalence: DocumentEquivalence,
+    val rules: DocumentRules,
 )
 
 /**
@@ -37,7 +38,7 @@
     private val feed = PeerChangeFeed(ports.link, loop)
 
     /** The replicated documents. */
-    val mirror = DocumentMirror(ports.equivalence)
+    val mirror = DocumentMirror(loop::now, ports.rules)
     private val peerSync =
         PeerDocumentSync(mirror, peers, ports.link, gateway.random, gateway.log, FollowerStoreStatus())
 
@@ -77,5 +78,7 @@
         override val storeReachable: Boolean get() = follower.storeReachable
 
         override fun onReachableElsewhere() = follower.onReachableElsewhere()
+
+        override fun onRestored(revision: StoreRevision) = follower.onRestored(revision)
     }
 }
--- a/gateway/src/main/kotlin/boragering/gateway/PeerChangeFeed.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PeerChangeFeed.kt
@@ -36,7 +36,7 @@
         val pending = PendingRequest(reader, loop.now())
         val number = ++lastNumber
         pendingRequests[number] = pending
-        link.send(reader, PeerMessage.ChangesRequest(number, after.value))
+        link.send(reader, PeerMessage.ChangesRequest(number, after.value, after.era))
         val answer = withTimeoutOrNull(ANSWER_TIMEOUT) { pending.answer.await() }
         pendingRequests.remove(number)
         return answer?.let { decode(it, pending) } ?: "no answer within $ANSWER_TIMEOUT".left()
@@ -52,7 +52,8 @@
         val encoded = answer.changes ?: return "the reader does not know all changes".left()
         val decoded = if (encoded.isEmpty()) emptyList<DocumentChange>().right() else ChangeCodec.decode(encoded)
         return decoded.flatMap { changes ->
-            val documentChanges = DocumentChanges(changes.toPersistentList(), StoreRevision(answer.revision))
+            val revision = StoreRevision(answer.revision, answer.era)
+            val documentChanges = DocumentChanges(changes.toPersistentList(), revision)
             RelayedChanges(documentChanges, confirmedAt(answer, pending)).right()
         }
     }
--- a/gateway/src/main/kotlin/boragering/gateway/PeerDocumentSync.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PeerDocumentSync.kt
@@ -18,6 +18,9 @@
 
     /** Called when another gateway reports that the store answers it. */
     fun onReachableElsewhere()
+
+    /** Called when it becomes known that the store was restored from a backup before it reached [revision]. */
+    fun onRestored(revision: StoreRevision)
 }
 
 /**
@@ -39,7 +42,7 @@
 
     /** Requests the changes after this gateway's revision from [count] random live peers. */
     fun requestChanges(count: Int) {
-        val request = PeerMessage.DocumentRequest(mirror.revision.value)
+        val request = PeerMessage.DocumentRequest(mirror.revision.value, mirror.revision.era)
         others.shuffled(random).take(count).forEach { link.send(it, request) }
     }
 
@@ -49,7 +52,7 @@
     /** Handles a message of another gateway; messages of other components are ignored. */
     fun handle(from: DaemonId, message: PeerMessage, now: Duration) {
         when (message) {
-            is PeerMessage.DocumentRequest -> answer(from, StoreRevision(message.after))
+            is PeerMessage.DocumentRequest -> answer(from, StoreRevision(message.after, message.era))
             is PeerMessage.Documents -> {
                 outageDetector.record(from, message.storeAnswers, now)
                 if (message.storeAnswers) store.onReachableElsewhere()
@@ -72,6 +75,7 @@
             written = mirror.all().map { it.toDocument() },
             removed = emptyMap(),
             storeAnswers = store.storeReachable,
+            era = mirror.revision.era,
         )
 
     private fun changedDocuments(after: StoreRevision, changes: DocumentChanges): PeerMessage.Documents {
@@ -83,23 +87,30 @@
             written = written,
             removed = removed.associate { it.key to it.revision.value },
             storeAnswers = store.storeReachable,
+            era = changes.revision.era,
         )
     }
 
     private fun applyDocuments(from: DaemonId, message: PeerMessage.Documents) {
-        val revision = StoreRevision(message.revision)
+        val revision = StoreRevision(message.revision, message.era)
         if (revision <= mirror.revision) return
-        val documents = message.written.map { StoredValue(it.key, it.content, StoreRevision(it.revision)) }
+        val documents = message.written.map { StoredValue(it.key, it.content, StoreRevision(it.revision, it.era)) }
         if (message.after == 0L) {
+            if (mirror.restoredBefore(revision)) store.onRestored(revision)
             mirror.replaceAll(DocumentSnapshot(documents.toPersistentList(), revision))
-        } else if (message.after <= mirror.revision.value) {
-            val written = documents.map { DocumentChange.Written(it) }
-            val removed = message.removed.map { (key, at) -> DocumentChange.Removed(key, StoreRevision(at)) }
-            val changes = (written + removed).sortedBy { it.revision }
-            mirror.apply(DocumentChanges(changes.toPersistentList(), revision))
+        } else if (StoreRevision(message.after, message.era) <= mirror.revision) {
+            mirror.apply(changes(message, documents))
         }
         log.event("documents-from-peer", "peer" to from, "revision" to revision, "documents" to documents.size)
     }
 
-    private fun StoredValue.toDocument(): StoreDocument = StoreDocument(key, value, revision.value)
+    private fun changes(message: PeerMessage.Documents, documents: List<StoredValue>): DocumentChanges {
+        val written = documents.map { DocumentChange.Written(it) }
+        val removed =
+            message.removed.map { (key, at) -> DocumentChange.Removed(key, StoreRevision(at, message.era)) }
+        val changes = (written + removed).sortedBy { it.revision }
+        return DocumentChanges(changes.toPersistentList(), StoreRevision(message.revision, message.era))
+    }
+
+    private fun StoredValue.toDocument(): StoreDocument = StoreDocument(key, value, revision.value, revision.era)
 }
--- a/gateway/src/main/kotlin/boragering/gateway/PlannerLock.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PlannerLock.kt
@@ -10,15 +10,25 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
+/** The state of the store on which a [PlannerLock] depends. */
+interface PlannerLockView {
+    /** Whether the store answers no gateway. */
+    val storeIsDown: Boolean
+
+    /** How often the store has been restored from a backup, as far as this gateway knows. */
+    val storeEra: Long
+}
+
 /**
- * A distributed lock that makes one gateway the planner. The lock is a document with a lease; the document's revision
- * is the planner's fencing token, which increases with each planner. Used on the event loop only.
+ * A distributed lock that makes one gateway the planner. The lock is a document with a lease; the planner's fencing
+ * token is derived from the position of that document in the store's history, and increases with each planner. A lock
+ * that was acquired before the store was restored from a backup has ended. Used on the event loop only.
  */
 internal class PlannerLock(
     private val store: Store,
     private val self: DaemonId,
     private val clock: Clock,
-    private val storeIsDown: () -> Boolean,
+    private val view: PlannerLockView,
 ) {
     private var lease: LeaseId? = null
     private var validUntil = Duration.ZERO
@@ -35,16 +45,20 @@
      * the lease has expired.
      */
     val held: Boolean
-        get() = fence != null && !suspensionDetector.suspended() && (clock.monotonic() < validUntil || storeIsDown())
+        get() = fence != null && !uncertain && (clock.monotonic() < validUntil || view.storeIsDown)
+
+    private val uncertain: Boolean get() = suspensionDetector.suspended() || restoredSinceGrant
+
+    private val restoredSinceGrant: Boolean get() = lease.let { it != null && it.era < view.storeEra }
 
     /** Acquires the lock if no gateway holds it. Returns whether this gateway then holds it. */
     suspend fun acquire(): Boolean {
         val start = clock.monotonic()
         val granted = store.grantLease(TIME_TO_LIVE).getOrElse { return false }
-        val outcome = store.compareAndSwap(KEY, StoreRevision.NONE, self.value, granted).getOrElse { null }
+        val outcome = write(granted)
         if (outcome is SwapOutcome.Swapped) {
             lease = granted
-            fence = outcome.revision.value
+            fence = outcome.revision.fencingToken
             extend(start)
         } else {
             store.revokeLease(granted)
@@ -52,16 +66,17 @@
         return held
     }
 
-    /** Renews the lease of the lock when that is due, or gives the lock up if the lease has expired. */
+    /** Renews the lease of the lock when that is due, or gives the lock up if the lease has ended. */
     suspend fun renew() {
         val current = lease ?: return
         val start = clock.monotonic()
-        val uncertain = suspensionDetector.suspended()
-        if (start - renewedAt < RENEWAL_INTERVAL && !uncertain) return
-        store.renewLease(current).fold(
-            { Unit },
-            { remaining -> if (remaining > Duration.ZERO) extend(start) else forget() },
-        )
+        when {
+            restoredSinceGrant -> forget()
+            start - renewedAt >= RENEWAL_INTERVAL || uncertain -> store.renewLease(current).fold(
+                { Unit },
+                { remaining -> if (remaining > Duration.ZERO) extend(start) else forget() },
+            )
+        }
     }
 
     /** Releases the lock and revokes its lease, so that another gateway can acquire the lock at once. */
@@ -77,6 +92,13 @@
         fence = null
     }
 
+    /** Writes the lock, in place of one that this gateway held before the store was restored. */
+    private suspend fun write(granted: LeaseId): SwapOutcome? {
+        val outcome = store.compareAndSwap(KEY, StoreRevision.NONE, self.value, granted).getOrElse { null }
+        val earlier = (outcome as? SwapOutcome.Conflict)?.current?.takeIf { it.value == self.value } ?: return outcome
+        return store.compareAndSwap(KEY, earlier.revision, self.value, granted).getOrElse { null }
+    }
+
     private fun extend(start: Duration) {
         renewedAt = start
         validUntil = start + TIME_TO_LIVE - EXPIRY_MARGIN
--- a/gateway/src/main/kotlin/boragering/gateway/PlannerLoop.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PlannerLoop.kt
@@ -20,7 +20,7 @@
  * @property list the instances; `null` while the list is not known to be up to date.
  * @property planner the daemon that holds the planner's lock; `null` if none is known to hold it.
  */
-interface PlannerView {
+interface PlannerView : PlannerLockView {
     val configuration: Configuration?
     val list: InstanceList?
     val planner: String?
@@ -28,9 +28,6 @@
     /** Whether this gateway is the only one in its availability zone. */
     val aloneInZone: Boolean
 
-    /** Whether the store answers no gateway. */
-    val storeIsDown: Boolean
-
     /** Records the state of [instances] that the planner observed itself, and sends it to other gateways. */
     fun onObserved(instances: List<Instance>)
 
@@ -52,14 +49,18 @@
  * Tries to acquire the planner's lock, and plans while this gateway holds it. Runs on the event loop.
  */
 class PlannerLoop(private val self: DaemonId, private val ports: PlannerPorts, private val view: PlannerView) {
-    private val lock = PlannerLock(ports.store, self, ports.clock) { view.storeIsDown }
+    private val lock = PlannerLock(ports.store, self, ports.clock, view)
     private var stopping = false
 
     /** Whether this gateway certainly holds the planner's lock now. */
     val planning: Boolean get() = lock.held
 
-    /** Whether the lock can be acquired, which is impossible while the store is down. */
-    private val lockAvailable: Boolean get() = view.planner == null && !stopping && !view.storeIsDown
+    /**
+     * Whether the lock can be acquired, which is impossible while the store is down. A store that was restored from a
+     * backup can still name this gateway as its holder.
+     */
+    private val lockAvailable: Boolean
+        get() = (view.planner == null || view.planner == self.value) && !stopping && !view.storeIsDown
 
     /** Whether this gateway is the planner, or may be. */
     val mayPlan: Boolean get() = lock.fence != null
--- a/gateway/src/main/kotlin/boragering/gateway/QuarantineExchange.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/QuarantineExchange.kt
@@ -115,6 +115,7 @@
     operator fun contains(part: SharedPart): Boolean = answeredAt[part].let { it != null && now() - it <= MEMORY }
 
     private companion object {
-        val MEMORY = 10.seconds
+        /** Documents from before an answer also return when the store is restored from a backup. */
+        val MEMORY = 60.seconds
     }
 }
--- a/gateway/src/main/kotlin/boragering/gateway/StoreAvailability.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/StoreAvailability.kt
@@ -62,17 +62,24 @@
         return since?.let { now - it }
     }
 
+    /**
+     * Records that the store was restored from a backup before it answered at [now] with its state at [revision].
+     * Entries that the backup lacked are missing in that state.
+     */
+    fun onRestored(now: Duration, revision: StoreRevision) {
+        recovery = Recovery(now, revision)
+        regainedAt = now
+        answeredBefore = true
+    }
+
     /**
      * The time until which an entry may be written again whose removal at [revision] becomes known at [now]; `null` if
      * the removal shows that the instance has ended.
      */
     fun entryReturnDeadline(revision: StoreRevision, now: Duration): Duration? {
-        val returnedAt = when {
-            lostAt == null -> recovery?.takeIf { revision <= it.revision }?.at
+        val returnedAt = recovery?.takeIf { revision <= it.revision }?.at
             // Another gateway passes on what it read when the store answered it again.
-            entriesMayExpire(now) -> reachableElsewhereAt ?: now
-            else -> null
-        }
+            ?: (reachableElsewhereAt ?: now).takeIf { lostAt != null && entriesMayExpire(now) }
         return returnedAt?.plus(ENTRY_RETURN_TIME)?.takeIf { it > now }
     }
 
@@ -84,7 +91,7 @@
     private fun reachedByOthers(now: Duration): Boolean =
         reachableElsewhereAt.let { it != null && now - it > MAX_NOTICE_DELAY }
 
-    /** The first answer after an outage in which entries may have expired, with the store's state at [revision]. */
+    /** The first answer after a loss of entries in the store, with its state at [revision]. */
     private class Recovery(val at: Duration, val revision: StoreRevision)
 
     private companion object {
--- a/gateway/src/test/kotlin/boragering/gateway/DocumentMirrorTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/DocumentMirrorTest.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
 import kotlinx.collections.immutable.persistentListOf
+import kotlin.time.Duration
 
 class DocumentMirrorTest : DescribeSpec({
     fun document(key: String, revision: Long) = StoredValue(key, "v$revision", StoreRevision(revision))
@@ -85,10 +86,119 @@
                 listOf("a" to 3L, "b" to 4L)
         }
 
+        it("include those of a read of several pages (guards against changes that are skipped)") {
+            val mirror = DocumentMirror()
+            mirror.replaceAll(DocumentSnapshot(persistentListOf(document("a", 1)), StoreRevision(2)))
+            mirror.replaceAll(DocumentSnapshot(persistentListOf(document("b", 6)), StoreRevision(4)))
+            mirror.apply(changes(7, written("c", 7)))
+            mirror.changesSince(StoreRevision(5))?.changes shouldBe listOf(written("b", 6), written("c", 7))
+        }
+
         it("are not known for a revision older than the history (guards against missed removals)") {
             val mirror = DocumentMirror()
             mirror.replaceAll(DocumentSnapshot(persistentListOf(document("a", 1)), StoreRevision(5)))
             mirror.changesSince(StoreRevision(4)).shouldBeNull()
         }
     }
+
+    describe("a store that was restored from a backup") {
+        fun restored(key: String, revision: Long, value: String = "v$revision") =
+            StoredValue(key, value, StoreRevision(revision, era = 1))
+
+        fun snapshot(revision: Long, vararg documents: StoredValue) =
+            DocumentSnapshot(persistentListOf(*documents), StoreRevision(revision, era = 1))
+
+        val rules = object : DocumentRules {
+            override fun areEquivalent(known: StoredValue, written: StoredValue) = known.value == written.value
+
+            override fun rewrittenAfterRestore(key: String) = key.startsWith("entry")
+        }
+
+        class Fixture {
+            var time = Duration.ZERO
+            val mirror = DocumentMirror({ time }, rules)
+
+            init {
+                mirror.replaceAll(DocumentSnapshot(persistentListOf(document("entry", 4)), StoreRevision(5)))
+                mirror.apply(changes(9, written("entry", 9)))
+            }
+        }
+
+        it("replaces documents of higher revisions (guards against documents that are kept for good)") {
+            val mirror = DocumentMirror()
+            mirror.apply(changes(9, written("a", 3), written("b", 9)))
+            mirror.replaceAll(snapshot(5, restored("a", 4))) shouldBe true
+            mirror["a"]?.value shouldBe "v4"
+            mirror["b"].shouldBeNull()
+            mirror.revision shouldBe StoreRevision(5, era = 1)
+        }
+
+        it("is not followed by changes of the earlier era (guards against what others have read before)") {
+            val mirror = DocumentMirror()
+            mirror.replaceAll(snapshot(5, restored("a", 4)))
+            mirror.apply(changes(20, written("a", 20)))
+            mirror["a"]?.value shouldBe "v4"
+            mirror.replaceAll(DocumentSnapshot(persistentListOf(), StoreRevision(30))) shouldBe false
+        }
+
+        it("has another history (guards against gateways that miss what they know from the earlier era only)") {
+            val mirror = DocumentMirror()
+            mirror.replaceAll(DocumentSnapshot(persistentListOf(), StoreRevision(1)))
+            mirror.apply(changes(9, written("a", 9)))
+            mirror.replaceAll(snapshot(5, restored("a", 4)))
+            mirror.changesSince(StoreRevision(7)).shouldBeNull()
+            mirror.changesSince(StoreRevision(5, era = 1))?.changes shouldBe emptyList()
+        }
+
+        it("does not bring an outdated entry back (guards against requests to an instance that is leaving)") {
+            Fixture().run {
+                mirror.replaceAll(snapshot(5, restored("entry", 4)))
+                mirror["entry"]?.value shouldBe "v9"
+                mirror.replaceAll(snapshot(6, restored("entry", 4)))
+                mirror["entry"]?.value shouldBe "v9"
+            }
+        }
+
+        it("brings an entry into force once it is written again (guards against entries withheld too long)") {
+            Fixture().run {
+                mirror.replaceAll(snapshot(5, restored("entry", 4)))
+                val again = DocumentChange.Written(restored("entry", 7))
+                mirror.apply(DocumentChanges(persistentListOf(again), again.revision))
+                mirror["entry"]?.value shouldBe "v7"
+            }
+        }
+
+        it("brings an outdated entry back after some time (guards against entries withheld for ever)") {
+            Fixture().run {
+                mirror.replaceAll(snapshot(5, restored("entry", 4)))
+                mirror.releaseWithheld()
+                mirror["entry"]?.value shouldBe "v9"
+                time += RestoredDocuments.WITHHOLD_TIME
+                mirror.releaseWithheld()
+                mirror["entry"]?.value shouldBe "v4"
+            }
+        }
+
+        it("does not bring a removed entry back if it is removed again (guards against entries of the past)") {
+            Fixture().run {
+                mirror.apply(changes(10, removed("entry", 10)))
+                mirror.replaceAll(snapshot(5, restored("entry", 9)))
+                mirror["entry"].shouldBeNull()
+                mirror.replaceAll(snapshot(6))
+                time += RestoredDocuments.WITHHOLD_TIME
+                mirror.releaseWithheld()
+                mirror["entry"].shouldBeNull()
+            }
+        }
+
+        it("is not reported for documents with the same content (guards against repeated effects)") {
+            val mirror = DocumentMirror()
+            mirror.apply(changes(9, written("a", 9)))
+            var reported = 0
+            mirror.addListener { reported += 1 }
+            mirror.replaceAll(snapshot(5, restored("a", 4, value = "v9")))
+            reported shouldBe 0
+            mirror["a"]?.revision shouldBe StoreRevision(4, era = 1)
+        }
+    }
 })
--- a/gateway/src/test/kotlin/boragering/gateway/DocumentReplicaTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/DocumentReplicaTest.kt
@@ -102,6 +102,21 @@
             }
         }
 
+        listOf(9, 24).forEach { count ->
+            it("reach $count gateways in time after the store was restored (guards against positions of another era)") {
+                withRunningGateways(count) { documents ->
+                    repeat(LOST_WRITES) { documents.write("other", "$it") }
+                    documents.write("route", "lost")
+                    awaitValue("route", "lost")
+                    documents.restore(LOST_WRITES)
+                    documents.write("route", "new")
+                    awaitValue("route", "new")
+                    documents.write("route", "newer")
+                    awaitValue("route", "newer")
+                }
+            }
+        }
+
         it("reach all gateways in time when a reader cannot reach the store (guards against stale relayed documents)") {
             withRunningGateways { documents ->
                 val unconnected = readers(reads = 6).first()
@@ -119,4 +134,7 @@
 }
 
 private const val STARTING_CALLS = 2
+
+/** More writes than are made during a test. */
+private const val LOST_WRITES = 2_000
 private const val READER_CALLS = 30
--- a/gateway/src/test/kotlin/boragering/gateway/FakeLockStore.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/FakeLockStore.kt
@@ -19,6 +19,17 @@
     var failing = false
     var leaseExpired = false
     var revision = 0L
+    var era = 0L
+
+    /** The lock's document as a backup contained it; `null` if there is none. */
+    var lock: StoredValue? = null
+
+    /** Restores the state at [backup], in which [lock] was the lock's document. */
+    fun restore(backup: Long, lock: StoredValue? = null) {
+        revision = backup
+        era += 1
+        this.lock = lock
+    }
 
     private fun <T> answer(value: T): Either<StoreFailure, T> =
         if (failing) StoreFailure.Uncertain("down").left() else value.right()
@@ -30,12 +41,14 @@
     override suspend fun range(prefix: String) = answer<PersistentList<StoredValue>>(persistentListOf())
 
     override suspend fun compareAndSwap(key: String, expected: StoreRevision, value: String, lease: LeaseId?) =
-        answer<SwapOutcome>(SwapOutcome.Swapped(StoreRevision(++revision)))
+        answer(if (expected == (lock?.revision ?: StoreRevision.NONE)) swapped() else SwapOutcome.Conflict(lock))
+
+    private fun swapped(): SwapOutcome = SwapOutcome.Swapped(StoreRevision(++revision, era)).also { lock = null }
 
     override suspend fun compareAndDelete(key: String, expected: StoreRevision) =
         answer<SwapOutcome>(SwapOutcome.Swapped(StoreRevision(++revision)))
 
-    override suspend fun grantLease(timeToLive: Duration) = answer(LeaseId(1))
+    override suspend fun grantLease(timeToLive: Duration) = answer(LeaseId(1, era))
 
     override suspend fun renewLease(lease: LeaseId) = answer(if (leaseExpired) Duration.ZERO else 2.seconds)
 
--- a/gateway/src/test/kotlin/boragering/gateway/PlannerLockTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/PlannerLockTest.kt
@@ -2,7 +2,10 @@
 
 import boragering.core.Clock
 import boragering.core.DaemonId
+import boragering.core.StoreRevision
+import boragering.core.StoredValue
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.longs.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -18,11 +21,12 @@
 }
 
 class PlannerLockTest : DescribeSpec({
-    class Fixture {
+    class Fixture : PlannerLockView {
         val clock = TestClock()
         val store = FakeLockStore()
-        var storeIsDown = false
-        val lock = PlannerLock(store, DaemonId("d"), clock) { storeIsDown }
+        override var storeIsDown = false
+        override val storeEra get() = store.era
+        val lock = PlannerLock(store, DaemonId("d"), clock, this)
     }
 
     describe("the planner's lock") {
@@ -70,4 +74,44 @@
             }
         }
     }
+
+    describe("the planner's lock of a store that was restored from a backup") {
+        it("has ended, though its lease may be in the backup (guards against two planners)") {
+            Fixture().run {
+                lock.acquire()
+                store.restore(backup = 0)
+                lock.held shouldBe false
+                lock.renew()
+                lock.fence shouldBe null
+            }
+        }
+
+        it("has a higher fencing token than before (guards against orders that instances refuse)") {
+            Fixture().run {
+                store.revision = 500
+                lock.acquire()
+                val before = checkNotNull(lock.fence)
+                store.restore(backup = 20)
+                lock.renew()
+                lock.acquire() shouldBe true
+                checkNotNull(lock.fence) shouldBeGreaterThan before
+            }
+        }
+
+        it("is acquired at once if the backup names this gateway (guards against a time without a planner)") {
+            Fixture().run {
+                lock.acquire()
+                store.restore(backup = 7, StoredValue(PlannerLock.KEY, "d", StoreRevision(6, era = 1)))
+                lock.renew()
+                lock.acquire() shouldBe true
+            }
+        }
+
+        it("is not acquired if the backup names another gateway (guards against two planners)") {
+            Fixture().run {
+                store.restore(backup = 7, StoredValue(PlannerLock.KEY, "other", StoreRevision(6, era = 1)))
+                lock.acquire() shouldBe false
+            }
+        }
+    }
 })
--- a/gateway/src/test/kotlin/boragering/gateway/PlannerTermTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/PlannerTermTest.kt
@@ -53,6 +53,7 @@
     override val planner: String? = null
     override val aloneInZone = false
     override val storeIsDown = false
+    override val storeEra = 0L
 
     override fun onObserved(instances: List<Instance>) = Unit
 
--- a/gateway/src/test/kotlin/boragering/gateway/ReplicaNetwork.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/ReplicaNetwork.kt
@@ -21,6 +21,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
@@ -31,17 +32,32 @@
 /** In-memory documents that many gateways replicate. */
 internal class SharedDocuments {
     private val changes = ArrayList<DocumentChange>()
-    private var revision = 1L
+    private var revision = StoreRevision(1)
 
     @Synchronized
     fun write(key: String, value: String) {
-        revision += 1
-        changes += DocumentChange.Written(StoredValue(key, value, StoreRevision(revision)))
+        revision = revision.copy(value = revision.value + 1)
+        changes += DocumentChange.Written(StoredValue(key, value, revision))
     }
 
+    /** Restores the state of [writes] writes ago. */
     @Synchronized
-    fun after(after: StoreRevision): DocumentChanges =
-        DocumentChanges(changes.filter { it.revision > after }.toPersistentList(), StoreRevision(revision))
+    fun restore(writes: Int) {
+        val era = revision.era + 1
+        revision = StoreRevision(revision.value - writes, era)
+        val kept = changes.filter { it.revision.value <= revision.value }.filterIsInstance<DocumentChange.Written>()
+        changes.clear()
+        changes += kept.map { change ->
+            DocumentChange.Written(change.document.copy(revision = StoreRevision(change.revision.value, era)))
+        }
+    }
+
+    /** The changes after [after]; `null` if that is a revision that was lost. */
+    @Synchronized
+    fun after(after: StoreRevision): DocumentChanges? {
+        if (after != StoreRevision.NONE && after.era != revision.era) return null
+        return DocumentChanges(changes.filter { it.revision > after }.toPersistentList(), revision)
+    }
 
     /** The feed of the documents for one gateway. */
     inner class Feed : DocumentFeed {
@@ -59,7 +75,7 @@
         override suspend fun read(prefix: String): Either<StoreFailure, DocumentSnapshot> {
             calls.incrementAndGet()
             failure(Duration.ZERO)?.let { return it.left() }
-            val all = after(StoreRevision.NONE)
+            val all = checkNotNull(after(StoreRevision.NONE))
             val documents = all.changes.filterIsInstance<DocumentChange.Written>().associateBy { it.key }
             return DocumentSnapshot(documents.values.map { it.document }.toPersistentList(), all.revision).right()
         }
@@ -71,8 +87,8 @@
         ): Either<FeedFailure, DocumentChanges> {
             calls.incrementAndGet()
             failure(wait)?.let { return FeedFailure.Unavailable(it).left() }
-            if (after(after).changes.isEmpty()) delay(wait)
-            return after(after).right()
+            withTimeoutOrNull(wait) { while (after(after)?.changes?.isEmpty() == true) delay(POLL_INTERVAL) }
+            return after(after)?.right() ?: FeedFailure.HistoryLost.left()
         }
 
         private suspend fun failure(wait: Duration): StoreFailure? = when {
@@ -85,6 +101,7 @@
     private companion object {
         /** Time that a call without an answer takes, besides the time for which it waits for changes. */
         val CALL_TIMEOUT = 1.seconds
+        val POLL_INTERVAL = 5.milliseconds
     }
 }
 
@@ -114,8 +131,8 @@
         private val ports =
             GatewayPorts(loop, DecisionLog(SystemClock), GatewayMetrics(MetricRegistry()), Random(1), { live.size })
         private val link = PeerLink { to, message -> deliver(self.daemon, to, message) }
-        private val equivalence = DocumentEquivalence { known, _ -> known.key.startsWith("heartbeat") }
-        val replica = DocumentReplica(ports, ReplicaPorts(feed, this, link, SystemClock, equivalence), this)
+        private val rules = DocumentRules { known, _ -> known.key.startsWith("heartbeat") }
+        val replica = DocumentReplica(ports, ReplicaPorts(feed, this, link, SystemClock, rules), this)
 
         fun run(scope: CoroutineScope) = scope.launch(loop.dispatcher) { replica.run() }
 
