--- a/core/src/main/kotlin/boragering/core/membership/RegistrationReader.kt
+++ b/core/src/main/kotlin/boragering/core/membership/RegistrationReader.kt
@@ -3,7 +3,6 @@
 import boragering.core.Clock
 import boragering.core.Store
 import boragering.core.StoredValue
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
@@ -31,7 +30,7 @@
 
     private fun decode(value: StoredValue): Registration? = try {
         Json.decodeFromString<Registration>(value.value).takeIf { Registration.key(it.daemon) == value.key }
-    } catch (_: SerializationException) {
+    } catch (_: IllegalArgumentException) {
         null
     }
 
