Refuse late in a drain what may last longer than it

Cause: a gateway that drains took every request until its limit; the limit ended 1.5 s before the grace period, which is earlier than the sixth of it in which a cut is to be expected; what was left then ended with its connection.

Change: from 3 s after the stop signal on, a request is taken only if its deadline is within the drain, and refused as not run otherwise, so that its caller turns to another gateway. Requests that are still in progress then are answered: 503 if they cannot have run, 502 if they may have; streams are cut. Ruled out: to close idle connections earlier, since callers keep using open ones until the process is gone.

--- a/gateway/src/main/kotlin/boragering/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Exchange.kt
@@ -48,6 +48,13 @@
         dispatcher.cancel()
     }
 
+    /** Ends the request because the gateway stops before its response is complete. */
+    fun onGatewayStop() {
+        if (finished) return
+        finish(progress.failRequest("the gateway stops", dispatcher.mayHaveRun))
+        dispatcher.cancel()
+    }
+
     /** Resumes or pauses reading from the target, depending on whether the caller's connection accepts more data. */
     fun onCallerWritabilityChanged(writable: Boolean) = dispatcher.setReading(writable)
 
--- a/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
@@ -71,12 +71,12 @@
 
     /**
      * Stops gracefully within [limit]. The gateway reports that it is not ready, serves requests that arrive until the
-     * load balancer has redirected the callers, and returns when no request is left. It then accepts no connections, so
-     * that the process can exit.
+     * load balancer has redirected the callers, and returns when no request is left, or answers those that are left at
+     * the limit. It then accepts no connections, so that the process can exit.
      */
     suspend fun drain(limit: Duration) = withContext(ports.loop.dispatcher) {
         val start = ports.loop.now()
-        state.draining = true
+        state.drain = GatewayDrain(start, endsAt = start + limit)
         while (ports.loop.now() - start < limit) {
             val redirected = ports.loop.now() - start >= CALLER_REDIRECTION_TIME
             if (redirected) connections.filter { it.idle }.forEach { it.close() }
@@ -85,6 +85,7 @@
         }
         listener?.close()
         ports.log.event("gateway-drained", "requestsLeft" to state.exchanges.size, "after" to ports.loop.now() - start)
+        state.exchanges.toList().forEach { it.onGatewayStop() }
     }
 
     /** Schedules the next check of request timeouts, which runs less often while there are no requests. */
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
@@ -86,8 +86,11 @@
     var targets = TargetTable.EMPTY
         private set
 
+    /** The drain of the gateway before the process stops; `null` before it begins. */
+    var drain: GatewayDrain? = null
+
     /** Whether the gateway is being drained before the process stops. */
-    var draining = false
+    val draining: Boolean get() = drain != null
 
     /** Whether requests can be served: configuration and instances are known, and the gateway is not draining. */
     val ready: Boolean get() = routes != null && instanceList != null && !draining
--- a/gateway/src/main/kotlin/boragering/gateway/RequestPipeline.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/RequestPipeline.kt
@@ -1,5 +1,9 @@
 package boragering.gateway
 
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
 import io.netty.channel.Channel
 import kotlin.time.Duration
 
@@ -63,7 +67,18 @@
         if (routes == null) {
             refuse(request, Refusal.Unavailable("no configuration is known", Refusal.soon(state.ports.random)), writer)
         } else {
-            router.route(request, routes, arrivedAt).fold({ refuse(request, it, writer) }, { start(it, writer) })
+            router.route(request, routes, arrivedAt).flatMap(::admit)
+                .fold({ refuse(request, it, writer) }, { start(it, writer) })
+        }
+    }
+
+    /** A refused request can be sent to another gateway; one that is cut at the stop may have run. */
+    private fun admit(routed: RoutedRequest): Either<Refusal, RoutedRequest> {
+        val admitted = state.drain?.admits(routed.deadline, state.now()) ?: true
+        return if (admitted) {
+            routed.right()
+        } else {
+            Refusal.Unavailable("the gateway stops", Refusal.soon(state.ports.random)).left()
         }
     }
 
