--- a/review/standins/Consumer.java
+++ b/review/standins/Consumer.java
@@ -99,6 +99,11 @@
         port = otherPort;
     }
 
+    /** Whether this consumer's channel leads to the given port. */
+    boolean uses(int gatewayPort) {
+        return port == gatewayPort;
+    }
+
     void close() {
         try {
             if (socket != null) socket.close();
