--- a/review/1/LeftoverBytes.java
+++ b/review/1/LeftoverBytes.java
@@ -97,6 +97,6 @@
         record.close();
         boolean couldRun = succeeded.get() > 1000 && (!trouble || spoiled.get() > 10);
         boolean broken = refusedThoughRun.get() > 0 || wrongStatus.get() > 0 || !runTwice.isEmpty();
-        System.exit(broken ? 1 : couldRun ? 0 : 2);
+        Outcome.exit(broken, couldRun);
     }
 }
--- a/review/standins/Replica.java
+++ b/review/standins/Replica.java
@@ -60,6 +60,11 @@
         return "x".repeat(800).getBytes(StandardCharsets.US_ASCII);
     }
 
+    /** The header line that carries the digest of an answer. */
+    String signatureLine(String attempt) {
+        return "Response-Signature: s." + attempt + "\r\n";
+    }
+
     /** Bytes that follow the complete answer; a sound replica sends none. */
     byte[] extraBytes() {
         return new byte[0];
@@ -106,7 +111,7 @@
         byte[] body = body(request);
         running.decrementAndGet();
         record.line("answered-by-replica " + attempt + " at " + id + " status 200 bytes " + body.length);
-        byte[] head = head(200, "Attempt-Id: " + attempt + "\r\nResponse-Signature: s." + attempt + "\r\n", body.length)
+        byte[] head = head(200, "Attempt-Id: " + attempt + "\r\n" + signatureLine(attempt), body.length)
             .getBytes(StandardCharsets.US_ASCII);
         byte[] extra = extraBytes();
         if (extra.length > 0) record.line("extra-bytes after " + attempt + " at " + id + ": " + new String(extra, StandardCharsets.US_ASCII).replace("\r\n", "\\r\\n"));
