Show also a non-idempotent request that runs twice after left-over bytes

The additional bytes are now the beginning of the shed answer of the wire examples, and the route allows two attempts.

--- a/review/1/LeftoverBytes.java
+++ b/review/1/LeftoverBytes.java
@@ -14,11 +14,8 @@
     private static final double SPOILED_SHARE = 0.03;
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
 
-    /** A second answer, of which the faulty replica sends only a beginning. */
-    private static final List<String> SECOND_ANSWERS = List.of(
-        "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-        "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 800\r\n\r\n");
+    /** A second answer, as in the wire examples ("a server sheds"), of which the faulty replica sends only a beginning. */
+    private static final String SECOND_ANSWER = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n\r\n";
 
     public static void main(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
@@ -43,13 +40,12 @@
                     synchronized (random) {
                         if (!faulty || random.nextDouble() >= SPOILED_SHARE) return super.extraBytes();
                         spoiled.incrementAndGet();
-                        String second = SECOND_ANSWERS.get(random.nextInt(SECOND_ANSWERS.size()));
-                        return second.substring(0, 1 + random.nextInt(second.length() - 1)).getBytes(StandardCharsets.US_ASCII);
+                        return SECOND_ANSWER.substring(0, 1 + random.nextInt(SECOND_ANSWER.length() - 1)).getBytes(StandardCharsets.US_ASCII);
                     }
                 }
             });
         }
-        store.write("op/config", Catalogue.configuration(1, 2000));
+        store.write("op/config", Catalogue.configuration(1, 2000).replace("\"Attempts\":1", "\"Attempts\":2"));
         Threads.start(() -> {
             while (true) {
                 for (Replica replica : replicas) store.write(replica.key(), replica.entry("ready"));
