--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -61,12 +62,7 @@
 
     /** The lines that a gateway has written to its output. */
     List<String> log(String name) throws IOException {
-        return Files.readAllLines(folder.resolve(name + ".log"), java.nio.charset.StandardCharsets.ISO_8859_1);
-    }
-
-    /** Sends a signal to a process that this test started. */
-    static void signal(Process process, String signal) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+        return Files.readAllLines(folder.resolve(name + ".log"), StandardCharsets.ISO_8859_1);
     }
 
     /** Ends all processes and removes the settings. */
