--- a/review/1/LeftoverBytes.java
+++ b/review/1/LeftoverBytes.java
@@ -7,10 +7,16 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** One of three replicas sends additional bytes after some of its complete answers. Nothing else goes wrong. */
+/** Three of five replicas send additional bytes after some of their complete answers. Nothing else goes wrong. */
 final class LeftoverBytes {
-    private static final int CONSUMERS = 12;
-    private static final int DURATION_MS = 45_000;
+    private static final int CONSUMERS = 40;
+    private static final int DURATION_MS = 15_000;
+
+    /** Three of five replicas are faulty, from some seconds after the first request on. */
+    private static final int REPLICAS = 5;
+    private static final int FAULTY_REPLICAS = 3;
+    private static final int FAULT_AT_MS = 5_000;
+    private static final int FAULT_MS = 5_000;
     private static final double SPOILED_SHARE = 0.03;
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
 
@@ -25,9 +31,10 @@
         Set<String> runTwice = ConcurrentHashMap.newKeySet();
         AtomicInteger spoiled = new AtomicInteger();
         Random random = new Random(7);
+        boolean[] faultNow = new boolean[1];
         List<Replica> replicas = new ArrayList<>();
-        for (int index = 0; index < 3; index++) {
-            boolean faulty = trouble && index == 0;
+        for (int index = 0; index < REPLICAS; index++) {
+            boolean faulty = trouble && index < FAULTY_REPLICAS;
             replicas.add(new Replica("i-" + index, record) {
                 @Override
                 int workMs(Http.Message request) {
@@ -38,7 +45,7 @@
                 @Override
                 byte[] extraBytes() {
                     synchronized (random) {
-                        if (!faulty || random.nextDouble() >= SPOILED_SHARE) return super.extraBytes();
+                        if (!faulty || !faultNow[0] || random.nextDouble() >= SPOILED_SHARE) return super.extraBytes();
                         spoiled.incrementAndGet();
                         return SECOND_ANSWER.substring(0, 1 + random.nextInt(SECOND_ANSWER.length() - 1)).getBytes(StandardCharsets.US_ASCII);
                     }
@@ -84,6 +91,12 @@
                 }
             }));
         }
+        Thread.sleep(FAULT_AT_MS);
+        faultNow[0] = true;
+        record.line("the fault begins" + (trouble ? "" : " (left out)"));
+        Thread.sleep(FAULT_MS);
+        faultNow[0] = false;
+        record.line("the fault ends");
         for (Thread consumer : consumers) consumer.join();
         deployment.end();
         record.say("requests " + sent + ", succeeded " + succeeded + ", answers followed by additional bytes " + spoiled);
--- a/review/standins/Replica.java
+++ b/review/standins/Replica.java
@@ -7,30 +7,38 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 
 /** A replica of a plain service, which is listed in the store and runs each request that names it. */
 class Replica {
     static final int SLOTS = 6;
+    private static final int QUEUE = 24;
     final String id;
+    private final String zone;
     private final Record record;
     private final ServerSocket server = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
     private final List<Socket> sockets = new ArrayList<>();
-    private final AtomicInteger running = new AtomicInteger();
+    private final Semaphore slots = new Semaphore(SLOTS, true);
     private final long born = System.currentTimeMillis();
     private long beats;
 
     Replica(String id, Record record) throws IOException {
+        this(id, "sapporo", record);
+    }
+
+    Replica(String id, String zone, Record record) throws IOException {
         this.id = id;
+        this.zone = zone;
         this.record = record;
         Threads.start(this::accept);
     }
 
     /** The entry in the store. */
     synchronized String entry(String state) {
-        return ("{\"Service\":\"%s\",\"Address\":\"127.0.0.1:%d\",\"Zone\":\"sapporo\",\"Version\":\"v1\",\"Slots\":%d,"
+        return ("{\"Service\":\"%s\",\"Address\":\"127.0.0.1:%d\",\"Zone\":\"%s\",\"Version\":\"v1\",\"Slots\":%d,"
             + "\"State\":\"%s\",\"ColdRemainingMs\":0,\"born\":%d,\"Sequence\":%d}")
-            .formatted(Catalogue.SERVICE, server.getLocalPort(), SLOTS, state, born, ++beats);
+            .formatted(Catalogue.SERVICE, server.getLocalPort(), zone, SLOTS, state, born, ++beats);
     }
 
     String key() {
@@ -102,14 +110,16 @@
         if (!request.header("Expect-Instance").equals(id)) {
             return "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n".formatted(id).getBytes(StandardCharsets.US_ASCII);
         }
-        if (running.get() >= SLOTS * 5) {
+        long waitMs = Long.parseLong(request.header("Deadline-Remaining"));
+        boolean full = slots.getQueueLength() >= QUEUE;
+        if (full || !slots.tryAcquire(waitMs, TimeUnit.MILLISECONDS)) {
+            record.line("shed " + attempt + " at " + id);
             return "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
         }
-        running.incrementAndGet();
         record.line("run " + attempt + " at " + id);
         Thread.sleep(workMs(request));
         byte[] body = body(request);
-        running.decrementAndGet();
+        slots.release();
         record.line("answered-by-replica " + attempt + " at " + id + " status 200 bytes " + body.length);
         byte[] head = head(200, "Attempt-Id: " + attempt + "\r\n" + signatureLine(attempt), body.length)
             .getBytes(StandardCharsets.US_ASCII);
@@ -124,6 +134,6 @@
 
     private String head(int status, String more, int length) {
         return "HTTP/1.1 " + status + " OK\r\nInstance-Id: " + id + "\r\n" + more + moreHeaders()
-            + "Server-Load: " + running.get() + ",0," + SLOTS + "\r\nContent-Length: " + length + "\r\n\r\n";
+            + "Server-Load: " + (SLOTS - slots.availablePermits()) + "," + slots.getQueueLength() + "," + SLOTS + "\r\nContent-Length: " + length + "\r\n\r\n";
     }
 }
--- a/review/standins/StoreStandIn.java
+++ b/review/standins/StoreStandIn.java
@@ -17,10 +17,10 @@
 
 /** The platform's store: items with revisions, watches, transactions and leases that run out. */
 final class StoreStandIn {
-    private record Item(String key, String value, long revision, long lease, boolean deleted) {
+    private record Item(String key, String value, long revision, long created, long lease, boolean deleted) {
         String json() {
             String where = "{\"Key\":" + Json.quote(key) + ",\"Revision\":" + revision;
-            return where + (deleted ? ",\"Deleted\":true}" : ",\"Value\":\"" + value + "\",\"Lease\":" + lease + "}");
+            return where + (deleted ? ",\"Deleted\":true}" : ",\"Value\":\"" + value + "\",\"Created\":" + created + ",\"Lease\":" + lease + "}");
         }
     }
 
@@ -107,7 +107,7 @@
 
     private synchronized Answer get(String key) {
         Item item = items.get(key);
-        return item == null ? new Answer(404, "{}") : new Answer(200, item.json());
+        return item == null ? new Answer(404, "{}") : new Answer(200, item.json().replaceFirst("}$", ",\"CurrentRev\":" + revision + "}"));
     }
 
     private synchronized Answer range(String prefix, String after) {
@@ -194,7 +194,9 @@
     }
 
     private void put(String key, String value, long lease) {
-        Item item = new Item(key, value, ++revision, lease, false);
+        Item before = items.get(key);
+        revision++;
+        Item item = new Item(key, value, revision, before == null ? revision : before.created, lease, false);
         leases.values().forEach(it -> it.keys.remove(key));
         if (lease != 0) leases.get(lease).keys.add(key);
         items.put(key, item);
@@ -204,7 +206,7 @@
 
     private void delete(String key) {
         if (items.remove(key) == null) return;
-        history.add(new Item(key, "", ++revision, 0, true));
+        history.add(new Item(key, "", ++revision, 0, 0, true));
         notifyAll();
     }
 }
