Keep the position of a copy before changes that were not received

Cause: a position was advanced past changes that were not received, and nothing remembered it. CompleteDocumentFeed noticed the gap, but cleared it when it reported it, not when a read had succeeded; an answer within the next second was passed on, and the mirror went past the gap. After a second read that failed nothing was reported any more.

Change: the mirror's position is what has been received without a gap; the latest revision that an answer has told is a second value, and changes are missing while it is higher. Incomplete answers take effect, but advance nothing, confirm nothing, and are not passed on to other gateways (ChangeHistory ends at the position). MissingChanges reads all documents 0.6 s apart, with a watch in between, until the position has reached that revision. CompleteDocumentFeed is gone; what it tested is tested on MissingChanges, DocumentMirror and, with 9 and 24 gateways whose reads fail, on DocumentReplica. What tells the age of documents moved from DocumentFollower to DocumentFreshness.

Ruled out: holding an incomplete answer back until the read, since a leaving instance in it would be used longer.

--- a/gateway/src/main/kotlin/boragering/gateway/CachedRangeStore.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/CachedRangeStore.kt
@@ -23,7 +23,7 @@
         withContext(loop.dispatcher) { cachedRange(prefix) }?.right() ?: store.range(prefix)
 
     private fun cachedRange(prefix: String): PersistentList<StoredValue>? {
-        val staleness = replica().follower.staleness
+        val staleness = replica().follower.freshness.staleness
         if (staleness == null || staleness > MAX_STALENESS) return null
         return replica().mirror.all().filter { it.key.startsWith(prefix) }.sortedBy { it.key }.toPersistentList()
     }
--- a/gateway/src/main/kotlin/boragering/gateway/ChangeHistory.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ChangeHistory.kt
@@ -25,7 +25,7 @@
     fun since(after: StoreRevision, end: StoreRevision): DocumentChanges? {
         if (after < start || after.era > end.era) return null
         val latest = LinkedHashMap<String, DocumentChange>()
-        changes.filter { it.revision > after }.sortedByDescending { it.revision }
+        changes.filter { it.revision > after && it.revision <= end }.sortedByDescending { it.revision }
             .forEach { latest.putIfAbsent(it.key, it) }
         return DocumentChanges(latest.values.reversed().toPersistentList(), end)
     }
--- a/gateway/src/main/kotlin/boragering/gateway/DocumentFollower.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DocumentFollower.kt
@@ -33,55 +33,27 @@
     private val log = ports.log
     private val random = ports.random
     private val sourceSelector = feeds.sourceSelector
-    private val suspensionDetector = SuspensionDetector(clock)
-    private val availability = StoreAvailability()
-    private var lastAnswerAt: Duration? = null
-    private var lastConfirmedAt: Duration? = null
+    private val missingChanges = MissingChanges()
     private var lastReadAt: Duration? = null
     private var source: DocumentSource = DocumentSource.Store
 
-    /** Whether the store recently answered this gateway or the reader from which it reads. */
-    val recentlyAnswered: Boolean get() = lastAnswerAt.let { it != null && loop.now() - it < RECENT_ANSWER_TIME }
+    /** Whether and when the store answered, and how old the documents can be. */
+    val freshness = DocumentFreshness(loop::now, clock, log)
 
-    override val storeReachable: Boolean get() = recentlyAnswered && availability.lostAt == null
+    override val storeReachable: Boolean get() = freshness.storeReachable
 
-    /** Time since the documents were last confirmed to be complete; `null` if it is not known. */
-    val staleness: Duration?
-        get() = lastConfirmedAt
-            ?.takeIf { availability.lostAt == null && !suspensionDetector.suspended() }
-            ?.let { loop.now() - it }
-
-    /** Whether the store is unreachable, or first answered or became reachable again only a short time ago. */
-    val recovering: Boolean
-        get() {
-            val recovery = if (availability.answeredBefore) OUTAGE_RECOVERY_TIME else RECOVERY_TIME
-            return availability.lostAt != null ||
-                availability.regainedAt.let { it != null && loop.now() - it < recovery }
-        }
-
-    /** Whether the store has answered every call since the start of this process. */
-    val noOutageSinceStart: Boolean
-        get() = availability.answeredAtOnce && !availability.answeredBefore && availability.lostAt == null
-
-    /**
-     * The time until which an entry that was removed at [revision], as is learned now, may be written again; `null` if
-     * the removal shows that its instance has ended.
-     */
-    fun entryReturnDeadline(revision: StoreRevision): Duration? =
-        availability.entryReturnDeadline(revision, loop.now())
-
-    override fun onReachableElsewhere() = availability.onReachableElsewhere(loop.now())
+    override fun onReachableElsewhere() = freshness.onReachableElsewhere()
 
     override fun onRestored(revision: StoreRevision) {
         log.event("store-restored", "known" to mirror.revision, "revision" to revision)
-        availability.onRestored(loop.now(), revision)
+        freshness.onRestored(revision)
         loop.after(RestoredDocuments.WITHHOLD_TIME + RELEASE_DELAY) { mirror.releaseWithheld() }
     }
 
     /** Time for which a call waits for changes. A call that waits while the store is away notices its return late. */
     private val storeWaitTime: Duration
         get() = when {
-            availability.lostAt != null -> Duration.ZERO
+            freshness.storeLost -> Duration.ZERO
             sourceSelector.relayEnabled -> RELAYING_STORE_WAIT_TIME
             else -> STORE_WAIT_TIME
         }
@@ -89,13 +61,19 @@
     /** Keeps the documents up to date until cancelled. */
     suspend fun run() {
         while (true) {
-            if (mirror.revision == StoreRevision.NONE) readAll() else followOnce()
+            when {
+                mirror.revision == StoreRevision.NONE -> readAll()
+                missingChanges.readDue(loop.now()) -> readMissing()
+                else -> followOnce()
+            }
+            val missingFor = missingChanges.update(mirror.changesMissing, loop.now()) ?: continue
+            log.event("store-changes-complete", "after" to missingFor, "revision" to mirror.revision)
         }
     }
 
     private suspend fun followOnce() {
-        val next = sourceSelector.select(loop.now(), lastConfirmedAt)
-        if (next != source) log.event("documents-source", "source" to next, "age" to staleness)
+        val next = sourceSelector.select(loop.now(), freshness.confirmedAt)
+        if (next != source) log.event("documents-source", "source" to next, "age" to freshness.staleness)
         source = next
         when (next) {
             DocumentSource.Store -> followStore()
@@ -103,10 +81,10 @@
         }
     }
 
-    private suspend fun readAll() {
+    private suspend fun readAll(onFailure: suspend (StoreFailure, UnansweredCall) -> Unit = ::onStoreFailure) {
         val requestedAt = loop.now()
-        feeds.store.read(PREFIX).fold({ onStoreFailure(it, UnansweredCall(requestedAt)) }, { snapshot ->
-            if (snapshot.revision >= mirror.revision) onConfirmed(requestedAt, snapshot.revision)
+        feeds.store.read(PREFIX).fold({ onFailure(it, UnansweredCall(requestedAt)) }, { snapshot ->
+            if (snapshot.revision >= mirror.revision) freshness.onConfirmed(requestedAt, snapshot.revision)
             if (mirror.restoredBefore(snapshot.revision)) onRestored(snapshot.revision)
             val replaced = mirror.replaceAll(snapshot)
             val documents = snapshot.documents.size
@@ -114,18 +92,27 @@
         })
     }
 
+    /** Reads all documents because changes are missing. The store may go on to answer other calls if this one fails. */
+    private suspend fun readMissing() {
+        readAll { failure, _ ->
+            log.event("store-read-failed", "reason" to failure.reason, "revision" to mirror.revision)
+            askPeer()
+        }
+        missingChanges.onReadEnd(loop.now())
+    }
+
     private suspend fun followStore() {
         // Changes in quick succession are read with one call, because every call adds load to the store.
         loop.now().let { now -> lastReadAt?.let { delay((it + readInterval() - now).coerceAtLeast(Duration.ZERO)) } }
         val requestedAt = loop.now()
         lastReadAt = requestedAt
-        val wait = storeWaitTime
+        val wait = missingChanges.limit(storeWaitTime)
         val result = feeds.store.changes(PREFIX, mirror.revision, wait)
         when (val failure = result.leftOrNull()) {
             null -> result.onRight { changes ->
                 // An empty result means that the store waited for the full time without a change.
                 val confirmedAt = if (changes.changes.isEmpty()) minOf(requestedAt + wait, loop.now()) else requestedAt
-                onConfirmed(confirmedAt, changes.revision)
+                if (changes.complete) freshness.onConfirmed(confirmedAt, changes.revision) else onIncomplete(changes)
                 mirror.apply(changes)
             }
             FeedFailure.HistoryLost -> {
@@ -142,7 +129,7 @@
             val age = relayed.confirmedAt?.let { loop.now() - it }
             if (age != null && age <= MAX_READER_AGE) {
                 val confirmedAt = loop.now() - age
-                return onConfirmed(confirmedAt, relayed.changes.revision, storeAnsweredAt = confirmedAt)
+                return freshness.onConfirmed(confirmedAt, relayed.changes.revision, storeAnsweredAt = confirmedAt)
             }
             "its last confirmation is ${age ?: "not known"} old"
         })
@@ -150,53 +137,36 @@
         log.event("reader-failed", "reader" to reader, "reason" to failure, "revision" to mirror.revision)
     }
 
-    /**
-     * Records that the documents, with the changes just received up to [revision], include every change made before
-     * [confirmedAt], as the store answered at [storeAnsweredAt], to this gateway or to the reader.
-     */
-    private fun onConfirmed(
-        confirmedAt: Duration,
-        revision: StoreRevision,
-        storeAnsweredAt: Duration = loop.now(),
-    ) {
-        val now = loop.now()
-        if (suspensionDetector.suspended()) suspensionDetector.reset()
-        lastAnswerAt = now
-        lastConfirmedAt = maxOf(confirmedAt, lastConfirmedAt ?: confirmedAt)
-        val outage = availability.onAnswered(now, revision, storeAnsweredAt) ?: return
-        log.event("store-regained", "after" to outage, "revision" to revision)
+    /** Records that the store left out some of the changes before the revision of [changes]. */
+    private fun onIncomplete(changes: DocumentChanges) {
+        if (!mirror.changesMissing) {
+            log.event("store-changes-missing", "known" to mirror.revision, "revision" to changes.revision)
+        }
+        freshness.onIncomplete(changes.revision)
     }
 
     private suspend fun onStoreFailure(failure: StoreFailure, call: UnansweredCall) {
-        if (availability.onLost(loop.now(), call)) {
-            log.event("store-lost", "reason" to failure.reason, "revision" to mirror.revision)
-        }
+        freshness.onLost(call, failure.reason, mirror.revision)
         askPeer()
         delay(RETRY_INTERVAL * (1 + random.nextDouble()))
     }
 
-    private companion object {
+    /** Times and the prefix of the calls. */
+    internal companion object {
         /** Selects all documents, because one waiting call costs less than one for each kind of document. */
-        const val PREFIX = ""
+        private const val PREFIX = ""
 
         /** Time for which a call waits for changes; bounds how long a dead connection goes unnoticed. */
-        val STORE_WAIT_TIME = 2.seconds
+        private val STORE_WAIT_TIME = 2.seconds
 
         /** [STORE_WAIT_TIME] while readers relay changes, since other gateways wait for a reader's confirmations. */
-        val RELAYING_STORE_WAIT_TIME = 400.milliseconds
-        val RETRY_INTERVAL = 250.milliseconds
+        private val RELAYING_STORE_WAIT_TIME = 400.milliseconds
+        private val RETRY_INTERVAL = 250.milliseconds
 
         /** Makes up for timers that fire early. */
-        val RELEASE_DELAY = 50.milliseconds
-        val RECENT_ANSWER_TIME = 3.seconds
+        private val RELEASE_DELAY = 50.milliseconds
 
         /** Age of a reader's confirmation above which another source is selected. */
         val MAX_READER_AGE = 900.milliseconds
-
-        /** Time within which the planner learns after an outage that the store is reachable again. */
-        val OUTAGE_RECOVERY_TIME = 1_800.milliseconds
-
-        /** Time within which entries that expired while the store was unreachable are written again. */
-        val RECOVERY_TIME = 2_500.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/boragering/gateway/DocumentMirror.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DocumentMirror.kt
@@ -25,6 +25,9 @@
  * A copy of the store's documents whose [revision] never decreases. A new version of a document that is equivalent to
  * the known one counts as unchanged. The most recent changes are kept for other gateways.
  *
+ * Changes that the store reported without those before them are applied as well, but [revision] stays before the gap
+ * until the changes in between have been received, too.
+ *
  * When the store is restored from a backup, its documents replace the known ones, except for versions that are known to
  * be outdated and that their writers will write again. These are withheld until the document is written, or until
  * [releaseWithheld]. Used on the event loop only.
@@ -44,6 +47,14 @@
     var revision = StoreRevision.NONE
         private set
 
+    /** The latest store revision that an answer has told. */
+    private var latestRevision = StoreRevision.NONE
+
+    private val removalsAhead = RemovalsAhead()
+
+    /** Whether the store has left out changes after [revision]. */
+    val changesMissing: Boolean get() = latestRevision > revision
+
     /** Adds a [listener] for later changes. */
     fun addListener(listener: DocumentMirrorListener) {
         listeners += listener
@@ -52,10 +63,6 @@
     /** The document with [key]; `null` if there is none. */
     operator fun get(key: String): StoredValue? = documents[key]
 
-    /** Whether the store was restored from a backup before it reached [position]. */
-    fun restoredBefore(position: StoreRevision): Boolean =
-        revision != StoreRevision.NONE && position.era > revision.era
-
     /**
      * Replaces all documents by [snapshot] unless it is older. Documents that it lacks count as removed. Returns
      * whether the documents were replaced.
@@ -68,18 +75,28 @@
         val removed = documents.keys.filter { it !in read }.map { DocumentChange.Removed(it, snapshot.revision) }
         val written = restoredDocuments.usable(snapshot.documents, restored, documents::get).sortedBy { it.revision }
         (written.map { DocumentChange.Written(it) } + removed).forEach(::apply)
-        revision = snapshot.revision
+        advance(snapshot.revision)
         return true
     }
 
-    /** Applies [changes] that follow [revision]. Changes of another era do not follow it and have no effect. */
+    /**
+     * Applies [changes] that follow [revision], which advances if they are complete. Changes of another era do not
+     * follow it and have no effect.
+     */
     fun apply(changes: DocumentChanges) {
         if (revision != StoreRevision.NONE && changes.revision.era != revision.era) return
         changes.changes.filter { it.revision > revision }.forEach {
             restoredDocuments.onChanged(it.key)
             apply(it)
         }
-        revision = maxOf(revision, changes.revision)
+        latestRevision = maxOf(latestRevision, changes.revision)
+        if (changes.complete) advance(changes.revision)
+    }
+
+    private fun advance(to: StoreRevision) {
+        revision = maxOf(revision, to)
+        latestRevision = maxOf(latestRevision, revision)
+        removalsAhead.forgetUntil(revision)
     }
 
     /** Applies the withheld documents whose writers have had enough time to write them again. */
@@ -92,6 +109,8 @@
     fun all(): PersistentList<StoredValue> = documents.values.toPersistentList()
 
     private fun apply(change: DocumentChange) {
+        if (removalsAhead.outdate(change)) return
+        if (change is DocumentChange.Removed && change.revision > revision) removalsAhead.add(change)
         val known = documents[change.key]
         if (change is DocumentChange.Written && known != null && change.document.repeats(known)) {
             documents[change.key] = change.document
@@ -111,6 +130,10 @@
     }
 }
 
+/** Whether the store was restored from a backup before it reached [position]. */
+internal fun DocumentMirror.restoredBefore(position: StoreRevision): Boolean =
+    revision != StoreRevision.NONE && position.era > revision.era
+
 /** Whether this is the content of [known] at a later position, as in a store that was restored from a backup. */
 private fun StoredValue.repeats(known: StoredValue): Boolean =
     revision.era > known.revision.era && value == known.value
--- a/gateway/src/main/kotlin/boragering/gateway/DocumentReplica.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DocumentReplica.kt
@@ -44,7 +44,7 @@
 
     /** Keeps [mirror] up to date. */
     val follower: DocumentFollower = DocumentFollower(
-        FollowerFeeds(CompleteDocumentFeed(ports.store, gateway.log, loop::now), feed, sourceSelector),
+        FollowerFeeds(ports.store, feed, sourceSelector),
         mirror,
         gateway,
         ports.clock,
@@ -52,7 +52,7 @@
         // The planner has to find out whether the store answers any gateway.
         askPeer = { peerSync.requestChanges(if (planner.mayPlan) StoreOutageDetector.PEERS_ASKED else 1) },
     )
-    private val relay = DocumentRelay(mirror, ports.link, loop) { follower.staleness }
+    private val relay = DocumentRelay(mirror, ports.link, loop) { follower.freshness.staleness }
 
     /** Whether the store answers neither this gateway nor any other. */
     val storeIsDown: Boolean get() = peerSync.storeIsDown(loop.now())
--- a/gateway/src/main/kotlin/boragering/gateway/StoreAvailability.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/StoreAvailability.kt
@@ -50,16 +50,26 @@
     }
 
     /**
-     * Records at [now] that the store answered at [answeredAt] with its state at [revision]. Returns the duration of
-     * the outage that this ends, or `null`.
+     * Records at [now] that the store answered at [answeredAt] with its state at [revision], and whether it reported
+     * all changes up to that. Returns the duration of the outage that this ends, or `null`. The first complete answer
+     * after an outage tells which removals belong to it.
      */
-    fun onAnswered(now: Duration, revision: StoreRevision, answeredAt: Duration = now): Duration? {
+    fun onAnswered(
+        now: Duration,
+        revision: StoreRevision,
+        answeredAt: Duration = now,
+        complete: Boolean = true,
+    ): Duration? {
         this.answeredAt = answeredAt
         val since = lostAt
         if (since != null && regainedAt != null) answeredBefore = true
         if (since == null && regainedAt == null) answeredAtOnce = true
         if (since != null || regainedAt == null) regainedAt = now
-        if (since != null && entriesMayExpire(now)) recovery = Recovery(now, revision)
+        recovery = when {
+            since != null && entriesMayExpire(now) -> Recovery(now, revision, complete)
+            complete -> recovery?.completedBy(revision)
+            else -> recovery
+        }
         lostAt = null
         return since?.let { now - it }
     }
@@ -69,7 +79,7 @@
      * Entries that the backup lacked are missing in that state.
      */
     fun onRestored(now: Duration, revision: StoreRevision) {
-        recovery = Recovery(now, revision)
+        recovery = Recovery(now, revision, complete = true)
         regainedAt = now
         answeredBefore = true
     }
@@ -103,7 +113,9 @@
         reachableElsewhereAt.let { it != null && now - it > MAX_NOTICE_DELAY }
 
     /** The first answer after a loss of entries in the store, with its state at [revision]. */
-    private class Recovery(val at: Duration, val revision: StoreRevision)
+    private class Recovery(val at: Duration, val revision: StoreRevision, val complete: Boolean) {
+        fun completedBy(later: StoreRevision): Recovery = if (complete) this else Recovery(at, later, complete = true)
+    }
 
     private companion object {
         /** No entry expires in a shorter outage: that takes three heartbeats, the first of them before the outage. */
--- a/gateway/src/test/kotlin/boragering/gateway/DocumentMirrorTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/DocumentMirrorTest.kt
@@ -38,6 +38,53 @@
         }
     }
 
+    describe("changes without those before them") {
+        fun mirrorWithGap() = DocumentMirror().apply {
+            apply(changes(5, written("a", 4), written("b", 5)))
+            apply(changes(9, written("c", 8), removed("b", 9)).copy(complete = false))
+        }
+
+        it("take effect at once (guards against a leaving instance that is used until all is known)") {
+            val mirror = mirrorWithGap()
+            mirror["c"]?.value shouldBe "v8"
+            mirror["b"].shouldBeNull()
+        }
+
+        it("do not advance the position (guards against missing changes that nothing remembers)") {
+            val mirror = mirrorWithGap()
+            mirror.revision shouldBe StoreRevision(5)
+            mirror.changesMissing shouldBe true
+        }
+
+        it("are not passed on (guards against gateways that take them for all there are)") {
+            val passedOn = mirrorWithGap().changesSince(StoreRevision(4))
+            passedOn?.revision shouldBe StoreRevision(5)
+            passedOn?.changes?.map { it.key } shouldBe listOf("b")
+        }
+
+        it("are passed on with the others once all are known (guards against changes that reach nobody else)") {
+            val mirror = mirrorWithGap()
+            val read = persistentListOf(document("a", 7), document("c", 8))
+            mirror.replaceAll(DocumentSnapshot(read, StoreRevision(9)))
+            mirror.changesMissing shouldBe false
+            val expected = listOf(written("a", 7), written("c", 8), removed("b", 9))
+            mirror.changesSince(StoreRevision(5))?.changes shouldBe expected
+        }
+
+        it("are complete when the store reports the others after all (guards against needless reads)") {
+            val mirror = mirrorWithGap()
+            mirror.apply(changes(9, written("a", 7), written("c", 8), removed("b", 9)))
+            mirror.changesMissing shouldBe false
+            mirror["a"]?.value shouldBe "v7"
+        }
+
+        it("outdate an earlier version that arrives later (guards against the return of an instance that left)") {
+            val mirror = mirrorWithGap()
+            mirror.apply(changes(7, written("b", 7)).copy(complete = false))
+            mirror["b"].shouldBeNull()
+        }
+    }
+
     describe("a snapshot of all documents") {
         it("removes documents that it lacks (guards against instances that stay listed when changes were missed)") {
             val mirror = DocumentMirror()
--- a/gateway/src/test/kotlin/boragering/gateway/DocumentReplicaTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/DocumentReplicaTest.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 class DocumentReplicaTest : DescribeSpec({
     /** Required limit for the time until all gateways know a change. */
@@ -38,10 +39,13 @@
         }
     }
 
-    suspend fun ReplicaNetwork.awaitCallOfEach() {
-        val callsBefore = gateways.associateWith { it.feed.calls.get() }
+    suspend fun ReplicaNetwork.awaitCallOfEach(
+        indexes: Collection<Int> = gateways.indices.toList(),
+        calls: Int = 1,
+    ) {
+        val callsBefore = indexes.map { gateways[it] }.associateWith { it.feed.calls.get() }
         eventually(10.seconds) {
-            callsBefore.forEach { (gateway, calls) -> gateway.feed.calls.get() shouldBeGreaterThan calls }
+            callsBefore.forEach { (gateway, before) -> gateway.feed.calls.get() shouldBeGreaterThan before + calls - 1 }
         }
     }
 
@@ -117,6 +121,40 @@
             }
         }
 
+        /** Writes [value] unheard, and returns when all gateways that read the store have been told that it changed. */
+        suspend fun ReplicaNetwork.writeUnheard(documents: SharedDocuments, value: String) {
+            documents.changesHidden = true
+            documents.write("route", value)
+            awaitCallOfEach(readers(reads = 6))
+            documents.dropHistory()
+            documents.changesHidden = false
+        }
+
+        listOf(9, 24).forEach { count ->
+            it("reach $count gateways in time once reads succeed again (guards against changes missed for good)") {
+                withRunningGateways(count) { documents ->
+                    gateways.forEach { it.feed.readsFail = true }
+                    writeUnheard(documents, "new")
+                    awaitCallOfEach(readers(reads = 6))
+                    gateways.forEach { it.feed.readsFail = false }
+                    awaitValue("route", "new")
+                }
+            }
+
+            it("are not read all the time by $count gateways while changes are hidden (guards against load)") {
+                withRunningGateways(count) { documents ->
+                    val reading = readers(reads = 6)
+                    val readsBefore = gateways.sumOf { it.feed.reads.get() }
+                    val start = TimeSource.Monotonic.markNow()
+                    documents.changesHidden = true
+                    awaitCallOfEach(reading, calls = 6)
+                    val seconds = start.elapsedNow().inWholeSeconds.toInt() + 1
+                    val reads = gateways.sumOf { it.feed.reads.get() } - readsBefore
+                    reads shouldBeLessThanOrEqual reading.size * seconds * READS_PER_SECOND
+                }
+            }
+        }
+
         it("reach all gateways in time when a reader cannot reach the store (guards against stale relayed documents)") {
             withRunningGateways { documents ->
                 val unconnected = readers(reads = 6).first()
@@ -138,3 +176,6 @@
 /** More writes than are made during a test. */
 private const val LOST_WRITES = 2_000
 private const val READER_CALLS = 30
+
+/** Reads of all documents that a gateway may make in a second while changes are missing. */
+private const val READS_PER_SECOND = 2
--- a/gateway/src/test/kotlin/boragering/gateway/ReplicaNetwork.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/ReplicaNetwork.kt
@@ -33,6 +33,17 @@
 internal class SharedDocuments {
     private val changes = ArrayList<DocumentChange>()
     private var revision = StoreRevision(1)
+    private var oldest = StoreRevision.NONE
+
+    /** When set, no call reports changes, but the revision that they have led to. */
+    @Volatile
+    var changesHidden = false
+
+    /** Forgets all changes so far, so that only a read of all documents tells them. */
+    @Synchronized
+    fun dropHistory() {
+        oldest = revision
+    }
 
     @Synchronized
     fun write(key: String, value: String) {
@@ -52,11 +63,20 @@
         }
     }
 
-    /** The changes after [after]; `null` if that is a revision that was lost. */
+    /** The changes after [after]; `null` if that is a revision that was lost, or the changes after it are. */
     @Synchronized
     fun after(after: StoreRevision): DocumentChanges? {
-        if (after != StoreRevision.NONE && after.era != revision.era) return null
-        return DocumentChanges(changes.filter { it.revision > after }.toPersistentList(), revision)
+        if (after.era != revision.era || after < oldest) return null
+        val later = changes.filter { it.revision > after }
+        val told = if (changesHidden) emptyList() else later
+        return DocumentChanges(told.toPersistentList(), revision, complete = told.size == later.size)
+    }
+
+    /** All documents. */
+    @Synchronized
+    fun snapshot(): DocumentSnapshot {
+        val documents = changes.filterIsInstance<DocumentChange.Written>().associateBy { it.key }
+        return DocumentSnapshot(documents.values.map { it.document }.toPersistentList(), revision)
     }
 
     /** The feed of the documents for one gateway. */
@@ -64,6 +84,13 @@
         /** Number of calls. */
         val calls = AtomicInteger()
 
+        /** Number of reads of all documents. */
+        val reads = AtomicInteger()
+
+        /** When set, reads of all documents fail. */
+        @Volatile
+        var readsFail = false
+
         /** When set, every call fails. */
         @Volatile
         var unreachable = false
@@ -74,10 +101,9 @@
 
         override suspend fun read(prefix: String): Either<StoreFailure, DocumentSnapshot> {
             calls.incrementAndGet()
+            reads.incrementAndGet()
             failure(Duration.ZERO)?.let { return it.left() }
-            val all = checkNotNull(after(StoreRevision.NONE))
-            val documents = all.changes.filterIsInstance<DocumentChange.Written>().associateBy { it.key }
-            return DocumentSnapshot(documents.values.map { it.document }.toPersistentList(), all.revision).right()
+            return if (readsFail) StoreFailure.NotApplied("refused").left() else snapshot().right()
         }
 
         override suspend fun changes(
