Count a connection that could not be opened as closed

What callers saw: a gateway that could open no connection to the store for some seconds never reached it again and kept its configuration and its list of instances for good, or had them from other gateways only, while these could reach the store.

Cause: a connection counts as open from its registration, and stopped counting when it became inactive; one that is refused, or times out, is closed without ever having been active. After 16 of them each call to the store failed with "all 16 connections ... are in use". The same holds for targets: one that refuses connections gets no request any more once its limit is reached. While it was being opened, a connection also counted twice.

Found by LostHistoryTest, whose stores had been closed while a process ran on. The class: what is counted at the beginning of an attempt is given back at one of its possible ends only.

Change: the pool follows the end of each connection's channel, which comes in each case, and has one count.

ConnectionPoolTest fails before (no answer after 40 refused calls) and passes after. GatewayTest, FaultyTargetTest, CrashingPromptTest pass.

--- a/gateway/src/main/kotlin/boragering/gateway/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ConnectionPool.kt
@@ -34,11 +34,10 @@
 ) {
     private val idleConnections = ArrayDeque<TargetConnection>()
     private val openConnections = HashSet<TargetConnection>()
-    private var connecting = 0
     private var closed = false
 
     /** Number of connections that are open or being opened. */
-    val size: Int get() = openConnections.size + connecting
+    val size: Int get() = openConnections.size
 
     fun now(): Duration = context.loop.now()
 
@@ -58,7 +57,7 @@
         if (closed) connection.channel.close() else idleConnections.addLast(connection)
     }
 
-    fun onClosed(connection: TargetConnection) {
+    private fun onClosed(connection: TargetConnection) {
         openConnections.remove(connection)
         idleConnections.remove(connection)
     }
@@ -90,9 +89,7 @@
     }
 
     private fun connect(handle: CallHandle) {
-        connecting += 1
         open(initializer(TargetResponseDecoder())) { channel, failure ->
-            connecting -= 1
             if (failure == null) {
                 handle.begin(channel.pipeline().get(TargetConnection::class.java))
             } else {
@@ -117,6 +114,8 @@
             override fun initChannel(channel: Channel) {
                 val connection = TargetConnection(this@ConnectionPool, channel, decoder)
                 openConnections += connection
+                // A connection that could not be opened closes as well, but never becomes inactive.
+                channel.closeFuture().addListener { onClosed(connection) }
                 channel.pipeline().addLast(decoder, HttpRequestEncoder(), connection)
             }
         }
--- a/gateway/src/main/kotlin/boragering/gateway/TargetConnection.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetConnection.kt
@@ -69,7 +69,6 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         fail(CallFailure.Disconnected("the connection closed before the response was complete"))
-        pool.onClosed(this)
     }
 
     private fun onHead(response: HttpResponse) {
