--- a/gateway/src/main/kotlin/boragering/gateway/HttpCallClient.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/HttpCallClient.kt
@@ -15,13 +15,22 @@
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 
-/** An HTTP request that the gateway sends on its own behalf, not for a caller. */
+/**
+ * An HTTP request that the gateway sends on its own behalf, not for a caller.
+ *
+ * @property maxResponseBytes longest body of a response that is taken, in bytes.
+ */
 data class HttpCall(
     val method: String,
     val uri: String,
     val body: String? = null,
     val headers: Map<String, String> = emptyMap(),
-)
+    val maxResponseBytes: Int = DEFAULT_MAX_RESPONSE_BYTES,
+) {
+    private companion object {
+        const val DEFAULT_MAX_RESPONSE_BYTES = 256 shl 10
+    }
+}
 
 /** The response to an [HttpCall]. */
 class HttpCallResponse(val status: Int, val body: String, private val headers: Map<String, String>) {
@@ -62,7 +71,7 @@
     private fun pool(address: Address): ConnectionPool =
         pools.getOrPut(address) { ConnectionPool(poolContext, address) }
 
-    private class PendingCall(call: HttpCall, address: Address) : TargetCall {
+    private class PendingCall(private val call: HttpCall, address: Address) : TargetCall {
         val answer = CompletableDeferred<Either<HttpFailure, HttpCallResponse>>()
         private val body = ByteArrayOutputStream()
         private var head: ResponseHead? = null
@@ -72,7 +81,8 @@
         override val maxIdleTime: Duration? = null
 
         override val defect: String?
-            get() = "the response is longer than $MAX_RESPONSE_BYTES bytes".takeIf { body.size() > MAX_RESPONSE_BYTES }
+            get() = "the response is longer than ${call.maxResponseBytes} bytes"
+                .takeIf { body.size() > call.maxResponseBytes }
 
         override fun onHead(head: ResponseHead) {
             this.head = head
@@ -111,8 +121,5 @@
     private companion object {
         /** Limit for concurrent calls to one address. */
         const val MAX_CONNECTIONS_PER_ADDRESS = 16
-
-        /** Limit for the body of a response. */
-        const val MAX_RESPONSE_BYTES = 32 shl 20
     }
 }
