Ask three other gateways for changes while the store fails

What callers saw, in a test: where one of nine gateways can read all documents after a gap, the last of the others knows a new route after 2 s or later. Each asked one random peer every 0.25 to 0.5 s, which most of the time did not know it either.

Three are asked instead, as many messages in an outage as before per gateway times three, and none while the store answers. DocumentReplicaTest, "if one of them can read", 9 gateways: fails before (not within 2 s), passes after; with 24 it passed before.

--- a/gateway/src/main/kotlin/boragering/gateway/DocumentFollower.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DocumentFollower.kt
@@ -18,7 +18,7 @@
 
 /**
  * Keeps a [DocumentMirror] up to date from the store, with calls that are at least [readInterval] apart, or from
- * another gateway that reads the store. While the store does not answer, [askPeer] requests the changes that other
+ * another gateway that reads the store. While the store does not answer, [askPeers] requests the changes that other
  * gateways know. Runs on the event loop.
  */
 class DocumentFollower internal constructor(
@@ -27,7 +27,7 @@
     ports: GatewayPorts,
     clock: Clock,
     private val readInterval: () -> Duration,
-    private val askPeer: () -> Unit,
+    private val askPeers: () -> Unit,
 ) : StoreStatus {
     private val loop = ports.loop
     private val log = ports.log
@@ -96,7 +96,7 @@
     private suspend fun readMissing() {
         readAll { failure, _ ->
             log.event("store-read-failed", "reason" to failure.reason, "revision" to mirror.revision)
-            askPeer()
+            askPeers()
         }
         missingChanges.onReadEnd(loop.now())
     }
@@ -147,7 +147,7 @@
 
     private suspend fun onStoreFailure(failure: StoreFailure, call: UnansweredCall) {
         freshness.onLost(call, failure.reason, mirror.revision)
-        askPeer()
+        askPeers()
         delay(RETRY_INTERVAL * (1 + random.nextDouble()))
     }
 
--- a/gateway/src/main/kotlin/boragering/gateway/DocumentReplica.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DocumentReplica.kt
@@ -50,7 +50,7 @@
         ports.clock,
         ::readInterval,
         // The planner has to find out whether the store answers any gateway.
-        askPeer = { peerSync.requestChanges(if (planner.mayPlan) StoreOutageDetector.PEERS_ASKED else 1) },
+        askPeers = { peerSync.requestChanges(if (planner.mayPlan) StoreOutageDetector.PEERS_ASKED else PEERS_ASKED) },
     )
     private val relay = DocumentRelay(mirror, ports.link, loop) { follower.freshness.staleness }
 
@@ -74,6 +74,11 @@
             reader = sourceSelector.relayEnabled && sourceSelector.readsStore,
         )
 
+    private companion object {
+        /** Number of peers asked for changes at a time, some of which the store may not answer either. */
+        const val PEERS_ASKED = 3
+    }
+
     private inner class FollowerStoreStatus : StoreStatus {
         override val storeReachable: Boolean get() = follower.storeReachable
 
--- a/gateway/src/test/kotlin/boragering/gateway/DocumentReplicaTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/DocumentReplicaTest.kt
@@ -141,6 +141,15 @@
                 }
             }
 
+            it("reach $count gateways in time if one of them can read (guards against positions past missed changes)") {
+                withRunningGateways(count) { documents ->
+                    val able = readers(reads = 6).first()
+                    gateways.forEachIndexed { index, gateway -> gateway.feed.readsFail = index != able }
+                    writeUnheard(documents, "new")
+                    awaitValue("route", "new")
+                }
+            }
+
             it("are not read all the time by $count gateways while changes are hidden (guards against load)") {
                 withRunningGateways(count) { documents ->
                     val reading = readers(reads = 6)
