Read all documents when an answer of the store cannot be read

A watch whose answer is too long, or no JSON, counted as an outage and was asked again from the same position, for good: nothing newer got in.

HttpFailure and StoreFailure tell an answer that cannot be read from none; the follower then reads all documents, page by page, and goes on behind them.

--- a/core/src/main/kotlin/boragering/core/Store.kt
+++ b/core/src/main/kotlin/boragering/core/Store.kt
@@ -105,6 +105,10 @@
     /** The call is known to have changed nothing. */
     data class NotApplied(override val reason: String) : StoreFailure
 
-    /** A write may or may not have taken effect. */
-    data class Uncertain(override val reason: String) : StoreFailure
+    /**
+     * A write may or may not have taken effect.
+     *
+     * @property answered whether the store answered, in a way that could not be read.
+     */
+    data class Uncertain(override val reason: String, val answered: Boolean = false) : StoreFailure
 }
--- a/gateway/src/main/kotlin/boragering/gateway/DocumentFeed.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DocumentFeed.kt
@@ -45,6 +45,9 @@
     /** The store no longer keeps changes that old, so that all documents have to be read again. */
     data object HistoryLost : FeedFailure
 
+    /** The store answered in a way that cannot be read, so that all documents have to be read again. */
+    data class Unreadable(val reason: String) : FeedFailure
+
     /** The store did not answer. */
     data class Unavailable(val cause: StoreFailure) : FeedFailure
 }
--- a/gateway/src/main/kotlin/boragering/gateway/DocumentFollower.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DocumentFollower.kt
@@ -119,6 +119,10 @@
                 log.event("store-history-lost", "revision" to mirror.revision)
                 readAll()
             }
+            is FeedFailure.Unreadable -> {
+                log.event("store-answer-unreadable", "reason" to failure.reason, "revision" to mirror.revision)
+                readAll()
+            }
             is FeedFailure.Unavailable -> onStoreFailure(failure.cause, UnansweredCall(requestedAt, wait))
         }
     }
--- a/gateway/src/main/kotlin/boragering/gateway/HttpCallClient.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/HttpCallClient.kt
@@ -48,6 +48,9 @@
 
     /** The server may have executed the call, or may do so later. */
     data class Unanswered(override val reason: String) : HttpFailure
+
+    /** The server answered, but not in a way that can be taken. */
+    data class Unreadable(override val reason: String) : HttpFailure
 }
 
 /** HTTP client with pooled connections for the gateway's own calls, for example to the store. */
@@ -99,7 +102,8 @@
         override fun onFailure(failure: CallFailure) {
             val reason = when (failure) {
                 is CallFailure.NotSent -> HttpFailure.NotSent(failure.reason)
-                is CallFailure.Lost, is CallFailure.Disconnected -> HttpFailure.Unanswered(failure.reason)
+                is CallFailure.Lost -> HttpFailure.Unreadable(failure.reason)
+                is CallFailure.Disconnected -> HttpFailure.Unanswered(failure.reason)
             }
             answer.complete(reason.left())
         }
