Leave connections to the store that have fallen silent sooner

A waiting call ended 3 s after its begin at the latest, and what had to be sent next went over a connection that had fallen silent as well, for 1 s more each. A change could thus be known later than 3 s after all connections fell silent, while new ones work.

A call waits for 1 s in place of 2 s, and a call without an answer closes the idle connections to its address.

--- a/gateway/src/main/kotlin/boragering/gateway/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ConnectionPool.kt
@@ -57,17 +57,15 @@
         if (closed) connection.channel.close() else idleConnections.addLast(connection)
     }
 
-    private fun onClosed(connection: TargetConnection) {
-        openConnections.remove(connection)
-        idleConnections.remove(connection)
-    }
-
     /** Closes idle connections at once, and those in use when their calls have ended. */
     fun close() {
         closed = true
-        idleConnections.toList().forEach { it.channel.close() }
+        closeIdle()
     }
 
+    /** Closes idle connections. */
+    fun closeIdle() = idleConnections.toList().forEach { it.channel.close() }
+
     /** Takes the most recently used connection if it can carry [call], and closes those that are no longer usable. */
     private fun takeIdle(call: TargetCall): TargetConnection? {
         val now = now()
@@ -115,7 +113,10 @@
                 val connection = TargetConnection(this@ConnectionPool, channel, decoder)
                 openConnections += connection
                 // A connection that could not be opened closes as well, but never becomes inactive.
-                channel.closeFuture().addListener { onClosed(connection) }
+                channel.closeFuture().addListener {
+                    openConnections.remove(connection)
+                    idleConnections.remove(connection)
+                }
                 channel.pipeline().addLast(decoder, HttpRequestEncoder(), connection)
             }
         }
--- a/gateway/src/main/kotlin/boragering/gateway/DocumentFollower.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DocumentFollower.kt
@@ -161,7 +161,7 @@
         private const val PREFIX = ""
 
         /** Time for which a call waits for changes; bounds how long a dead connection goes unnoticed. */
-        private val STORE_WAIT_TIME = 2.seconds
+        private val STORE_WAIT_TIME = 1.seconds
 
         /** [STORE_WAIT_TIME] while readers relay changes, since other gateways wait for a reader's confirmations. */
         private val RELAYING_STORE_WAIT_TIME = 400.milliseconds
--- a/gateway/src/main/kotlin/boragering/gateway/HttpCallClient.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/HttpCallClient.kt
@@ -66,7 +66,11 @@
         val handle = started.await()
         val answer = withTimeoutOrNull(timeout) { pending.answer.await() }
         if (answer != null) return answer
-        loop.execute { handle.cancel() }
+        loop.execute {
+            handle.cancel()
+            // What keeps one connection silent may keep all of them silent that were open at the time.
+            pools[address]?.closeIdle()
+        }
         val reason = "no answer within $timeout"
         return (if (handle.sent) HttpFailure.Unanswered(reason) else HttpFailure.NotSent(reason)).left()
     }
