--- a/gateway/src/main/kotlin/boragering/gateway/DocumentFreshness.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DocumentFreshness.kt
@@ -21,6 +21,7 @@
     private val suspensionDetector = SuspensionDetector(clock)
     private val availability = StoreAvailability()
     private var answeredAt: Duration? = null
+    private var lostReason = ""
 
     /** The time up to which the documents are known to lack no change; `null` if it was never known. */
     internal var confirmedAt: Duration? = null
@@ -81,7 +82,12 @@
 
     /** Records that [call] failed for [reason] while this gateway's documents were those of [revision]. */
     internal fun onLost(call: UnansweredCall, reason: String, revision: StoreRevision) {
-        if (availability.onLost(now(), call)) log.event("store-lost", "reason" to reason, "revision" to revision)
+        if (availability.onLost(now(), call)) {
+            log.event("store-lost", "reason" to reason, "revision" to revision)
+        } else if (reason != lostReason) {
+            log.event("store-still-lost", "reason" to reason, "revision" to revision)
+        }
+        lostReason = reason
     }
 
     private fun onAnswered(revision: StoreRevision, storeAnsweredAt: Duration, complete: Boolean) {
