Keep requests to cold instances within what they sustain

Cause: nothing read how long an instance is cold, nor what it sustains then. All gateways together send to an instance that comes back as if it were idle, which may crash it. Change: ColdInstances learns cold times from entries, new starts and reopened zones; TargetRate takes the stricter one of the stated rate and the cold limit, divided among a few gateways without messages. A gateway that does not know all others yet divides by all of them, since each may rank itself among the holders; this holds for stated rates, too.

--- a/fleet/src/main/kotlin/boragering/fleet/Configuration.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/Configuration.kt
@@ -89,12 +89,14 @@
  * @property connections number of open connections that one instance accepts from all gateways together.
  * @property engine the profile of the pool's model engines, whose requests go to groups of instances; `null` for other
  * services.
+ * @property coldStart how instances behave after a start; `null` if they are never cold.
  */
 data class ServiceProfile(
     val name: ServiceName,
     val connections: Int,
     val healthPath: String? = null,
     val engine: EngineProfile? = null,
+    val coldStart: ColdStartProfile? = null,
 )
 
 /**
--- a/fleet/src/main/kotlin/boragering/fleet/Instance.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/Instance.kt
@@ -6,6 +6,7 @@
 import boragering.core.InstanceId
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
+import kotlin.time.Duration
 
 /** The host and port on which an instance listens. */
 data class Address(val host: String, val port: Int) {
@@ -57,6 +58,7 @@
  *
  * @property loaded models whose weights the instance has loaded, so that it can serve them.
  * @property staged models whose weights are stored on the instance's host.
+ * @property coldRemaining time for which the instance stated that it is still cold; `null` if it states nothing.
  */
 data class Instance(
     val start: InstanceStart,
@@ -69,6 +71,7 @@
     val loaded: PersistentSet<ModelName> = persistentSetOf(),
     val staged: PersistentSet<ModelName> = persistentSetOf(),
     val membership: GroupMembership? = null,
+    val coldRemaining: Duration? = null,
 ) {
     /** The id under which the instance is listed. */
     val id: InstanceId get() = start.id
--- a/fleet/src/main/kotlin/boragering/fleet/TargetRate.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/TargetRate.kt
@@ -21,7 +21,8 @@
 }
 
 /**
- * Keeps one gateway's requests to one target within the rate that the target's answers state.
+ * Keeps one gateway's requests to one target within the rate that the target's answers state, and within the one that
+ * it sustains while it is cold.
  *
  * Answers the load of many gateways before a target in need. The rate is divided among a few of them only, the more the
  * higher it is: each holder may send one request at any time, and with more holders these alone would exceed the rate.
@@ -37,6 +38,7 @@
     private var refilledAt = Duration.ZERO
     private var probeSlot = 0L
     private var mayProbe = false
+    private var coldLimit: RateLimit? = null
 
     /** Whether this gateway is one of those that share the rate. */
     val holding: Boolean get() = share.holding
@@ -49,7 +51,7 @@
         if (stated == RateStatement.Unlimited && sentAt < statedAt) return false
         refill(now)
         val changed = stated != statement
-        if (statement !is RateStatement.Limited) begin(now)
+        if (limit == null) begin(now)
         if (stated !is RateStatement.Unreadable) statement = stated
         statedAt = now
         return changed
@@ -61,9 +63,11 @@
         statedAt = now
     }
 
-    /** Whether a request may be sent to the target at [now]. */
-    fun mayTake(now: Duration): Boolean {
-        if (statement !is RateStatement.Limited) return true
+    /** Whether a request may be sent to the target at [now], of which [cold] is the limit while it is cold. */
+    fun mayTake(now: Duration, cold: RateLimit? = null): Boolean {
+        if (limit == null && cold != null) begin(now)
+        coldLimit = cold
+        if (limit == null) return true
         refill(now)
         return if (share.holding) permits >= 1 else mayProbe
     }
@@ -75,24 +79,34 @@
         mayProbe = false
     }
 
+    /** The stricter one of the stated limit and that of a cold target; `null` if neither is in force. */
+    private val limit: RateLimit? get() = statedLimit?.and(coldLimit) ?: coldLimit
+
+    private val statedLimit: RateLimit?
+        get() = (statement as? RateStatement.Limited)?.perSecond?.let {
+            RateLimit(it, it.coerceAtMost(MAX_HOLDERS).toInt() + EXTRA_HOLDERS)
+        }
+
     private fun begin(now: Duration) {
         permits = 0.0
         refilledAt = now
+        sharedAt = null
     }
 
     private fun refill(now: Duration) {
-        val limit = (statement as? RateStatement.Limited)?.perSecond ?: return
-        updateShare(limit, now)
-        if (share.holding) permits += (now - refilledAt) / 1.seconds * limit / share.holders
+        val current = limit ?: return
+        updateShare(current, now)
+        if (share.holding) permits += (now - refilledAt) / 1.seconds * current.perSecond / share.holders
         permits = permits.coerceAtMost(1.0)
         refilledAt = now
-        drawProbe(limit, now)
+        // A target that is cold says for how long; there is nothing to probe for.
+        if (coldLimit == null) drawProbe(current.perSecond, now) else mayProbe = false
     }
 
-    private fun updateShare(limit: Double, now: Duration) {
+    private fun updateShare(limit: RateLimit, now: Duration) {
         if (sharedAt.let { it != null && now - it < SHARE_INTERVAL }) return
         sharedAt = now
-        share = shares.share(limit.coerceAtMost(MAX_HOLDERS).toInt() + EXTRA_HOLDERS)
+        share = shares.share(limit.maxHolders)
     }
 
     private fun drawProbe(limit: Double, now: Duration) {
--- a/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
@@ -43,6 +43,9 @@
     /** Highest value of [bodyBytes] so far. */
     val highestBodyBytes: Long get() = state.bodyMemory.highestUse
 
+    /** Number of instances that are cold or were so lately. */
+    val coldInstances: Int get() = state.usages.coldInstances
+
     /** Number of targets that may get requests. */
     val targets: Int get() = state.targets.all.size
 
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
@@ -1,6 +1,7 @@
 package boragering.gateway
 
 import boragering.core.AvailabilityZone
+import boragering.fleet.ColdAllowance
 import boragering.fleet.Configuration
 import boragering.fleet.GatewayRetryBudget
 import boragering.fleet.InstanceList
@@ -21,6 +22,7 @@
  *
  * @property connectTimeout time after which an attempt to connect to a target counts as failed.
  * @property maxCallers limit for connections of callers; above it, one connection is closed for each new one.
+ * @property coldAllowance requests that a cold instance may get within one second.
  * @property bodyMemory memory for the bodies of all requests and responses in progress, in bytes.
  */
 data class GatewaySettings(
@@ -29,6 +31,7 @@
     val retries: RetryLimits,
     val connectTimeout: Duration = 400.milliseconds,
     val maxCallers: Int = DEFAULT_MAX_CALLERS,
+    val coldAllowance: ColdAllowance = ColdAllowance(overrun = 1.0, slack = 0.0),
     val bodyMemory: Long = Runtime.getRuntime().maxMemory() / HEAP_SHARE_FOR_BODIES,
 ) {
     private companion object {
@@ -76,7 +79,7 @@
 
     val headerNames: HeaderNames get() = settings.headerNames
     val log: DecisionLog get() = ports.log
-    val usages = TargetUsages(pools, responseIdentity(headerNames), ports)
+    val usages = TargetUsages(pools, responseIdentity(headerNames), ports, settings.coldAllowance)
     val targetChoice = TargetChoice(settings.availabilityZone, ports.random)
     val exchanges = LinkedHashSet<Exchange>()
     val promptGuard = PromptGuard(ports)
@@ -132,6 +135,7 @@
     fun configure(configuration: Configuration) {
         routes = RouteTable(configuration)
         profiles = configuration.services
+        usages.configure(configuration.services.values)
         refresh()
     }
 
@@ -143,6 +147,7 @@
     private fun refresh() {
         val known = instanceList ?: return
         targets = targetBook.update(known, profiles)
+        usages.updateInstances(known)
         usages.retain(targets)
         if (routes != null && starting) endStartup()
     }
--- a/gateway/src/main/kotlin/boragering/gateway/RateExchange.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/RateExchange.kt
@@ -24,7 +24,8 @@
         val holders = peers.ranked("target-rate/$head", maxHolders)
         val complete = peers.live.size >= gateways
         return RateShare(
-            holders = if (complete) holders.size else minOf(gateways, maxHolders),
+            // While some gateways are unknown, each may rank itself among the holders.
+            holders = if (complete) holders.size else gateways,
             gateways = gateways,
             holding = holders.any { it.daemon == peers.self.daemon },
         )
--- a/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
@@ -8,6 +8,8 @@
 import boragering.core.OrganisationName
 import boragering.fleet.Address
 import boragering.fleet.CallerLimits
+import boragering.fleet.ColdAllowance
+import boragering.fleet.ColdStartProfile
 import boragering.fleet.Configuration
 import boragering.fleet.Instance
 import boragering.fleet.InstanceList
@@ -89,12 +91,17 @@
         retries = RetryLimits(ratio = 0.2, slack = 50.0, window = 10.seconds),
         maxCallers = capacity.callers,
         bodyMemory = capacity.bodyBytes,
+        coldAllowance = ColdAllowance(overrun = 1.5, slack = 0.0),
     )
     private val ports =
         GatewayPorts(loop, DecisionLog(clock), GatewayMetrics(MetricRegistry()), Random(1), { 1 })
     val gateway = Gateway(settings, ports)
     val address = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
 
+    /** How the targets behave after a start, and how long each is still cold; in force from the next [configure] on. */
+    var coldStart: ColdStartProfile? = null
+    var coldTimes: List<Duration> = emptyList()
+
     init {
         gateway.listen(address)
         if (configured) configure()
@@ -124,6 +131,7 @@
         val instances = targets.mapIndexed { index, target ->
             val start = InstanceStart(InstanceId("i$index"), 1)
             Instance(start, service, target.address, AvailabilityZone("z"), InstanceState.SERVING, slots = 4)
+                .copy(coldRemaining = coldTimes.getOrNull(index))
         }
         return InstanceList(1, persistentMapOf<InstanceId, Instance>().putAll(instances.associateBy { it.id }))
     }
@@ -131,7 +139,7 @@
     private fun configuration() = Configuration(
         version = 1,
         routes = persistentListOf<Route>().addAll(Repeatability.entries.map(::route)),
-        services = persistentMapOf(service to ServiceProfile(service, connections = 50)),
+        services = persistentMapOf(service to ServiceProfile(service, connections = 50, coldStart = coldStart)),
         limits = limits,
         organisations = persistentListOf(Organisation(OrganisationName("town"), persistentSetOf("secret"))),
     )
