Form groups for the demand where it differs from the configured shares

Cause: groups are formed by the models' configured shares, which describe the work at the start. Change: each gateway estimates the shares that the demand needs from the loads that targets report; the planner uses them once one model is supplied more than twice as well as another. While a gateway does not know the demand, no serving group is dissolved for it. LossyDay plays such a demand.

--- a/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
@@ -102,7 +102,7 @@
         val formed = compositions.flatMap { form(it, state, now) }
         val permits = permits(state, now)
         val staged = spares.stage(composer, state, now) { permits.tryAcquire(it) }
-        if (!formations.neverHadGroups && formed.isEmpty()) regroup(input, state, now)
+        if (!formations.neverHadGroups && formed.isEmpty() && state.demandKnown) regroup(input, state, now)
         val reserved = spares.reserve(formations.serving, state, now) { permits.tryAcquire() }
         // Before the first groups are formed, spares are not warmed up: instances load their weights in their groups.
         val warmed = if (formations.neverHadGroups) emptyList() else spares.warm(composer.spares, state, now)
--- a/fleet/src/main/kotlin/boragering/fleet/PoolState.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/PoolState.kt
@@ -6,11 +6,13 @@
  * The state of a pool at one step of a [GroupPlanner]: its engine profile and its listed [instances].
  *
  * @property unreachable starts of instances that are listed but do not answer.
+ * @property demandKnown whether the models' shares are known to fit the demand, so that groups may be exchanged for it.
  */
 class PoolState(
     val engine: EngineProfile,
     val instances: List<Instance>,
     private val unreachable: Set<InstanceStart> = emptySet(),
+    val demandKnown: Boolean = true,
 ) {
     private val answeringByStart = instances.filter { it.start !in unreachable }.associateBy { it.start }
 
@@ -21,7 +23,7 @@
     val serving: List<Instance> = answering.filter { it.state == InstanceState.SERVING }
 
     /** Returns this state with the instances replaced by [changed]. */
-    fun withInstances(changed: List<Instance>): PoolState = PoolState(engine, changed, unreachable)
+    fun withInstances(changed: List<Instance>): PoolState = PoolState(engine, changed, unreachable, demandKnown)
 
     /** Returns the listed instance; `null` if this [start] of the instance is not listed or does not answer. */
     fun find(start: InstanceStart): Instance? = answeringByStart[start]
--- a/fleet/src/main/kotlin/boragering/fleet/RouteTable.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/RouteTable.kt
@@ -21,6 +21,9 @@
     /** Whether requests need an API key on routes that are not public. */
     val requiresKeys: Boolean get() = configuration.organisations != null
 
+    /** The profiles of all services. */
+    val services: Collection<ServiceProfile> get() = configuration.services.values
+
     /** Returns the profile of the service; `null` if no service of that name is configured. */
     fun service(name: ServiceName): ServiceProfile? = configuration.services[name]
 
--- a/fleet/src/test/kotlin/boragering/fleet/FakePool.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/FakePool.kt
@@ -174,6 +174,9 @@
     var now = Duration.ZERO
         private set
 
+    /** The profile by which the planner forms groups. */
+    var plannedEngine = engine
+
     /** Whether the planner runs. */
     var plannerRunning = true
 
@@ -243,7 +246,7 @@
         (instance.alive && instance.unreachableUntil <= now) || now - diedAt.getValue(instance.id) < LISTED_AFTER_DEATH
 
     private fun plan() {
-        val step = planner.step(PoolState(engine, lists.first().second), now)
+        val step = planner.step(PoolState(plannedEngine, lists.first().second), now)
         step.orders.forEach { planner.recordOutcome(it, send(it)) }
     }
 
--- a/fleet/src/test/kotlin/boragering/fleet/LossyDay.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/LossyDay.kt
@@ -14,6 +14,8 @@
  *
  * @property busyGroups number of groups of each model that the mean demand keeps busy.
  * @property lossSize members of groups of one availability zone that are lost at once.
+ * @property swing amplitude of the demand relative to its mean.
+ * @property followsDemand whether the planner gets the shares that [ModelDemand] derives from the load of the groups.
  */
 internal data class LossyLoad(
     val engine: EngineProfile,
@@ -21,6 +23,9 @@
     val busyGroups: Map<ModelName, Double>,
     val lossSize: Int = 2,
     val arrivalInterval: Duration = 3.seconds,
+    val swing: Double = 0.55,
+    val domains: Int = 6,
+    val followsDemand: Boolean = false,
 ) {
     companion object {
         private val four = ModelProfile(ModelName("four"), 4, share = 0.57, 16.seconds, 1.6.seconds)
@@ -53,6 +58,18 @@
             lossSize = 6,
             arrivalInterval = 1.5.seconds,
         )
+
+        private val eight = sixteen.copy(name = ModelName("eight"), groupSize = 8)
+
+        /** Equal shares for groups of eight, which are nearly idle, and of two, which have most of the demand. */
+        val UNEVEN = LossyLoad(
+            engine(eight, two.copy(share = 0.5), loadsPerSecond = 14.0, loadsAtOnce = 20),
+            perDomain = 18,
+            busyGroups = mapOf(eight.name to 2.1, two.name to 24.0),
+            lossSize = 3,
+            swing = 0.3,
+            domains = 9,
+        )
     }
 }
 
@@ -62,9 +79,10 @@
  */
 internal class LossyDay(private val load: LossyLoad, seed: Int) {
     private val random = Random(seed)
-    private val pool = FakePool(random, DOMAINS, load.perDomain, load.engine)
+    private val pool = FakePool(random, load.domains, load.perDomain, load.engine)
     private val served = HashMap<ModelName, Double>()
     private val offered = HashMap<ModelName, Double>()
+    private val demand = ModelDemand()
     private var nextLoss = LOSS_INTERVAL
     private var nextArrival = FIRST_ARRIVAL
     private var nextPlanner = PLANNER_INTERVAL
@@ -107,7 +125,7 @@
     }
 
     private fun domains(zone: Int): List<FabricDomain> =
-        List(DOMAINS / ZONES) { FabricDomain("d${zone * (DOMAINS / ZONES) + it}") }
+        List(load.domains / ZONES) { FabricDomain("d${zone * (load.domains / ZONES) + it}") }
 
     private fun loseMembers(zone: Int) {
         val groups = pool.instances.filter { it.alive && it.membership != null }.groupBy { it.membership?.group }
@@ -117,16 +135,25 @@
 
     private fun measure(time: Duration) {
         val groups = pool.targets()
-        val wave = 1 + SWING * sin(2 * PI * (time / SWING_PERIOD))
+        val wave = 1 + load.swing * sin(2 * PI * (time / SWING_PERIOD))
         load.busyGroups.forEach { (model, busy) ->
             val demand = busy * wave
             offered.merge(model, demand, Double::plus)
             served.merge(model, minOf(demand, (groups[model] ?: 0) * USABLE_SHARE), Double::plus)
         }
+        if (load.followsDemand) follow(groups, wave)
+    }
+
+    /** Passes the shares to the planner that a gateway derives from the requests in progress at the groups. */
+    private fun follow(groups: Map<ModelName?, Int>, wave: Double) {
+        val requests = load.busyGroups.mapValues { (model, busy) ->
+            minOf(busy * wave, (groups[model] ?: 0).toDouble()) * load.engine.slots
+        }
+        demand.record(load.engine, requests, pool.now)
+        pool.plannedEngine = demand.apply(load.engine, pool.now)
     }
 
     companion object {
-        private const val DOMAINS = 6
         private const val ZONES = 3
         private val STEP = 200.milliseconds
         private val LEAD_TIME = 18.seconds
@@ -137,7 +164,6 @@
         private val PLANNER_INTERVAL = 7.seconds
         private val FIRST_ARRIVAL = 12.seconds
         private val SWING_PERIOD = 13.seconds
-        private const val SWING = 0.55
 
         /** Speed of loads from the weight store before callers are served. */
         private const val LOAD_SPEED_BEFORE_DEMAND = 10.0
--- a/fleet/src/test/kotlin/boragering/fleet/LossyDayTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/LossyDayTest.kt
@@ -25,4 +25,23 @@
             }
         }
     }
+
+    describe("a pool whose demand differs from the configured shares") {
+        val configured = LossyDay.play(LossyLoad.UNEVEN, 1..12)
+        val following = LossyDay.play(LossyLoad.UNEVEN.copy(followsDemand = true), 1..12)
+        fun List<LossyDay>.served(model: String) = sumOf { it.servedShare(ModelName(model)) } / size
+
+        it("serves the model that is in demand (guards against groups that refuse beside idle ones)") {
+            following.served("two") shouldBeGreaterThan 0.97
+            following.served("two") shouldBeGreaterThan configured.served("two") + 0.01
+        }
+
+        it("keeps serving the other model (guards against a model that loses all its groups)") {
+            following.served("eight") shouldBeGreaterThan 0.9
+        }
+
+        it("never violates the invariants between groups") {
+            following.flatMap { it.violations }.shouldBeEmpty()
+        }
+    }
 })
--- a/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
@@ -49,6 +49,9 @@
     /** Number of targets that may get requests. */
     val targets: Int get() = state.targets.all.size
 
+    /** The demand for the models of each service. */
+    val demand: PoolDemand get() = state.demand
+
     /** Receives other gateways' reports of prompt parts that crash targets. */
     val promptReports: PromptReports get() = state.promptGuard
 
@@ -56,6 +59,7 @@
     fun listen(address: Address) {
         scheduleTimeoutCheck()
         ports.loop.every(CALLER_CHECK_INTERVAL) { connections.toList().forEach { it.checkTimeouts(ports.loop.now()) } }
+        ports.loop.every(DemandObserver.INTERVAL, state.demand::observe)
         ports.loop.after(MAX_STARTUP_TIME) { state.endStartup() }
         val bound = ServerBootstrap().group(ports.loop.group)
             .channel(NioServerSocketChannel::class.java)
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
@@ -87,6 +87,7 @@
     val bodyMemory = MemoryBudget(settings.bodyMemory, MemoryShortageLog(ports))
     val suspicions = TargetSuspicions(this)
     val statements = TargetStatements(this)
+    val demand = DemandObserver(this)
 
     /** The routes of the current configuration; `null` before the first one is known. */
     var routes: RouteTable? = null
--- a/gateway/src/main/kotlin/boragering/gateway/PlannerLoop.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PlannerLoop.kt
@@ -4,9 +4,11 @@
 import boragering.core.DaemonId
 import boragering.core.Store
 import boragering.fleet.Configuration
+import boragering.fleet.EngineProfile
 import boragering.fleet.Instance
 import boragering.fleet.InstanceList
 import boragering.fleet.InstanceStart
+import boragering.fleet.ServiceName
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -25,6 +27,12 @@
     val list: InstanceList?
     val planner: String?
 
+    /** The profile [engine] of [service] with the models' shares that the demand needs. */
+    fun engineForDemand(service: ServiceName, engine: EngineProfile): EngineProfile = engine
+
+    /** Whether the demand for the models of [service] is known. */
+    fun demandKnown(service: ServiceName): Boolean = true
+
     /** Whether this gateway is the only one in its availability zone. */
     val aloneInZone: Boolean
 
--- a/gateway/src/main/kotlin/boragering/gateway/PlannerTerm.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PlannerTerm.kt
@@ -2,10 +2,12 @@
 
 import boragering.fleet.AddressedOrder
 import boragering.fleet.Configuration
+import boragering.fleet.EngineProfile
 import boragering.fleet.GroupPlanner
 import boragering.fleet.Instance
 import boragering.fleet.InstanceList
 import boragering.fleet.InstanceStart
+import boragering.fleet.ModelName
 import boragering.fleet.OrderOutcome
 import boragering.fleet.PlanningStep
 import boragering.fleet.PoolState
@@ -16,6 +18,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.math.roundToInt
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -32,6 +35,7 @@
     private var lastObservedAt = Duration.ZERO
     private val membersBeingProbed = HashSet<InstanceStart>()
     private val unreachable = HashMap<InstanceStart, Duration>()
+    private val loggedShares = HashMap<ServiceName, Map<ModelName, Int>>()
 
     /** Whether an instance has refused an order because it knows a newer planner. */
     var superseded = false
@@ -44,7 +48,10 @@
         configuration.services.values.forEach { service ->
             val engine = service.engine?.takeIf { it.models.isNotEmpty() } ?: return@forEach
             val planner = planners.getOrPut(service.name) { GroupPlanner(fence) }
-            val step = planner.step(PoolState(engine, list.of(service.name), unreachable.keys), now)
+            val needed = view.engineForDemand(service.name, engine)
+            logShares(service.name, needed)
+            val pool = PoolState(needed, list.of(service.name), unreachable.keys, view.demandKnown(service.name))
+            val step = planner.step(pool, now)
             sendOrders(planner, step, scope)
             // Suspicions are handled after the step, because a new planner does not know the serving groups before it.
             suspicions.mapNotNull { planner.servedBy(it) }.flatten().forEach { scope.launch { probe(it) } }
@@ -55,6 +62,13 @@
         }
     }
 
+    /** Records that the shares by which groups are formed have changed by a tenth or more. */
+    private fun logShares(service: ServiceName, engine: EngineProfile) {
+        val shares = engine.models.mapValues { (it.value.share * SHARE_STEPS).roundToInt() }
+        if (loggedShares.put(service, shares) == shares) return
+        ports.log.event("model-shares", "service" to service, "tenths" to shares)
+    }
+
     /** Requests reports from [instances], because the list does not change during an outage of the store. */
     private suspend fun queryInstances(instances: List<Instance>) {
         val reports = instances.filter { it.start !in unreachable }.map { ports.orders.report(it).getOrNull() }
@@ -97,6 +111,8 @@
     }
 
     private companion object {
+        const val SHARE_STEPS = 10
+
         /** Time without an answer after which the second probe is sent. */
         val PROBE_SPACING = 150.milliseconds
 
