Evacuate availability zones by a key in the store

Nothing read the key op/evacuate/ZONE: requests and the planner's orders reached instances in evacuated zones.

Each gateway decodes the keys (EvacuationDecoder, EvacuationDocuments) into ZoneEvacuations and passes them on before the list of instances, so that it knows them before it serves. TargetTable withholds targets with a member in an evacuated zone; all paths of a request, retries and resumed streams included, choose among the others, and a request without any is refused as not run. The planner leaves the instances out of its pool (PoolState), suspends groups that lie in evacuated zones, and ends groups across zones without an order to the evacuated members. After a restore from a backup, a known evacuation that the backup lacks holds for 2.3 s; one that it brings back holds at once. Log events zone-evacuated, zone-reopened, evacuation-kept, groups-suspended, groups-resumed; gauges boragering_zones_evacuated and boragering_targets_evacuated.

--- a/fleet/src/main/kotlin/boragering/fleet/Formation.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/Formation.kt
@@ -32,6 +32,9 @@
 ) {
     var phase = FormationPhase.FORMING
 
+    /** Whether the group gets no orders and counts for nothing, because it lies in evacuated availability zones. */
+    var suspended = false
+
     /** Why the group ends, for the decision log; `null` until it ends. */
     var reason: String? = null
         private set
--- a/fleet/src/main/kotlin/boragering/fleet/FormationLifecycle.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/FormationLifecycle.kt
@@ -33,8 +33,10 @@
 
     private fun updatePhase(formation: Formation) {
         val present = formation.members.map { state.find(it.start) }
+        val evacuated = formation.members.filter(state::isEvacuated)
         when {
-            present.any { it == null } -> formation.end(now, "a member is lost", lost = true)
+            present.count { it == null } > evacuated.size -> formation.end(now, "a member is lost", lost = true)
+            evacuated.isNotEmpty() -> formation.end(now, "a member is in an evacuated zone", lost = false)
             present.any { it?.state == InstanceState.LEAVING } -> formation.end(now, "a member leaves", lost = false)
             formation.model == null || formation.head == null ->
                 formation.end(now, "the members of the group are not known", lost = true)
--- a/fleet/src/main/kotlin/boragering/fleet/FormationRegistry.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/FormationRegistry.kt
@@ -4,24 +4,30 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** The groups that a planner has formed or adopted, until their members are released. Not thread-safe. */
+/**
+ * The groups that a planner has formed or adopted, until their members are released. Those that are suspended count for
+ * nothing. Not thread-safe.
+ */
 internal class FormationRegistry {
     private val formations = LinkedHashMap<GroupEpoch, Formation>()
     private val released = HashSet<GroupEpoch>()
     private val releasedWithUnknownHead = HashSet<GroupEpoch>()
 
-    /** All formations, in the order in which they were added. */
-    val all: List<Formation> get() = formations.values.toList()
+    /** All formations, including those that are suspended, in the order in which they were added. */
+    val known: List<Formation> get() = formations.values.toList()
+
+    /** All formations that are not suspended. */
+    val all: List<Formation> get() = formations.values.filterNot { it.suspended }
 
     /** Formations in the phase [FormationPhase.SERVING]. */
-    val serving: List<Formation> get() = formations.values.filter { it.phase == FormationPhase.SERVING }
+    val serving: List<Formation> get() = all.filter { it.phase == FormationPhase.SERVING }
 
     /** Whether no formation was ever added. */
     val neverHadGroups: Boolean get() = formations.isEmpty() && released.isEmpty()
 
-    /** The starts of the members of all formations. */
+    /** The starts of the members of all formations that are not suspended. */
     val members: Set<InstanceStart>
-        get() = formations.values.flatMapTo(HashSet()) { formation -> formation.members.map { it.start } }
+        get() = all.flatMapTo(HashSet()) { formation -> formation.members.map { it.start } }
 
     operator fun get(group: GroupEpoch?): Formation? = group?.let { formations[it] }
 
@@ -45,14 +51,14 @@
 
     /** Adopts the listed groups that are not known yet, because another planner formed them, and returns them. */
     fun adopt(state: PoolState, now: Duration): List<Formation> =
-        GroupView.of(state.answering)
-            .filter { it.group !in formations && !alreadyReleased(it) && !GroupEpochs.standby(it.group) }
+        GroupView.of(state.answering + state.withheld)
+            .filter { it.group !in formations && !alreadyReleased(it, state) && !GroupEpochs.standby(it.group) }
             .map { Formation(it.group, it.wholeModel(state.engine), it.members, now, adopted = true) }
             .onEach(::add)
 
     /** Number of instances of each model in groups that are not ending. */
     fun assigned(): Map<ModelName, Int> =
-        formations.values.filter { it.phase != FormationPhase.ENDING }
+        all.filter { it.phase != FormationPhase.ENDING }
             .mapNotNull { formation -> formation.model?.let { it to formation.members.size } }
             .groupBy({ it.first }, { it.second })
             .mapValues { (_, sizes) -> sizes.sum() }
@@ -62,13 +68,12 @@
      * members, which will soon be free.
      */
     fun ending(now: Duration): Set<FabricDomain> =
-        formations.values
-            .filter { it.endingSince.let { since -> since != null && now - since < RELEASE_TIMEOUT } }
+        all.filter { it.endingSince.let { since -> since != null && now - since < RELEASE_TIMEOUT } }
             .flatMapTo(HashSet()) { formation -> formation.members.map { it.groupDomain } }
 
     /** Number of members that are loading weights from the weight store. */
     fun loading(state: PoolState): Int =
-        formations.values.filter { it.phase == FormationPhase.FORMING }.sumOf { formation ->
+        all.filter { it.phase == FormationPhase.FORMING }.sumOf { formation ->
             formation.members.count { isLoading(it, formation, state) }
         }
 
@@ -83,9 +88,12 @@
     /**
      * Whether the listed group is one that was released, rather than one to adopt. A head that has left is still listed
      * as serving for a moment. A serving head that was unreachable at the release has returned: its group is adopted.
+     * A head in an evacuated zone stays unreachable until the zone reopens.
      */
-    private fun alreadyReleased(view: GroupView): Boolean =
-        view.group in released && (view.group !in releasedWithUnknownHead || view.head?.leadsServingGroup != true)
+    private fun alreadyReleased(view: GroupView, state: PoolState): Boolean {
+        val returned = view.head?.let { it.leadsServingGroup && state.find(it.start) != null } == true
+        return view.group in released && (view.group !in releasedWithUnknownHead || !returned)
+    }
 
     private companion object {
         /** Time allowed for the head of an ending group to release its members. */
--- a/fleet/src/main/kotlin/boragering/fleet/FormationTeardown.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/FormationTeardown.kt
@@ -12,7 +12,7 @@
         val head = formation.head?.let { state.find(it.start) }
         val membership = head?.membership?.takeIf { it.group == formation.group }
         return when {
-            head == null -> leaveWithoutHead(formation)
+            head == null -> if (mayFinish(formation)) FormationAction.Wait else leaveWithoutHead(formation)
             membership == null || hasLeft(formation, head) -> FormationAction.Release
             membership.state == MemberState.OPEN || membership.state == MemberState.CLOSING -> close(formation, head)
             formation.openUncertain -> order(formation, head, Order.Leave(formation.group))
@@ -25,8 +25,7 @@
      * has not finished within [CLOSE_TIMEOUT].
      */
     private fun close(formation: Formation, head: Instance): FormationAction {
-        val since = formation.endingSince ?: now
-        val graceful = !formation.memberLost && now - since < CLOSE_TIMEOUT
+        val graceful = !formation.memberLost && !closeTimedOut(formation)
         return order(formation, head, if (graceful) Order.Close(formation.group) else Order.Leave(formation.group))
     }
 
@@ -37,6 +36,14 @@
             FormationAction.Wait
         }
 
+    /** Whether a head in an evacuated zone, which gets no order, still has time to finish its running requests. */
+    private fun mayFinish(formation: Formation): Boolean {
+        val evacuated = formation.head?.let(state::isEvacuated) == true
+        return evacuated && formation.openUncertain && !formation.memberLost && !closeTimedOut(formation)
+    }
+
+    private fun closeTimedOut(formation: Formation): Boolean = now - (formation.endingSince ?: now) >= CLOSE_TIMEOUT
+
     /**
      * Orders the remaining members to leave before they are released. A head that is not listed or does not answer may
      * still be open and may return, and its members must not belong to two groups then. A head without members cannot
--- a/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
@@ -11,15 +11,16 @@
     val decisions: PersistentList<PlanningDecision> = persistentListOf(),
 )
 
-/** A record of the decision log: a [decision] about [group] and its [reason]. */
-data class PlanningDecision(val group: GroupEpoch, val decision: String, val reason: String)
+/** A record of the decision log: a [decision] about [group], or about several groups, and its [reason]. */
+data class PlanningDecision(val group: GroupEpoch?, val decision: String, val reason: String)
 
 /**
  * Forms groups from the instances of one pool, opens their heads, and dissolves groups that have lost a member.
  *
  * Only one planner of a deployment acts at a time. Each composition of a group has its own id and epoch, which are
  * higher than those of earlier planners. Therefore an order that is executed late does not affect a later composition.
- * Members of a group join another one only after the group's head has left or after they have left themselves. Not
+ * Members of a group join another one only after the group's head has left or after they have left themselves.
+ * Instances in evacuated availability zones get no orders, and the pool consists of those in the other zones. Not
  * thread-safe.
  *
  * @param fence the fencing number of this planner, higher than those of all earlier planners.
@@ -38,6 +39,7 @@
     fun step(listed: PoolState, now: Duration): PlanningStep {
         val state = lastModels.recall(listed)
         adopt(state, now)
+        decisions += GroupSuspension(state).update(formations.known)
         val orders = formations.all.flatMap { advance(it, state, now) }
         val composed = compose(state, now)
         val recorded = decisions.toPersistentList()
--- a/fleet/src/main/kotlin/boragering/fleet/GroupView.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupView.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentSet
 
 /**
  * The listed instances that report membership of one group and epoch, ordered by rank.
@@ -42,6 +43,7 @@
             members = members.map { it.start }.toPersistentList(),
             model = model,
             group = group,
+            memberZones = members.map { it.availabilityZone }.toPersistentSet(),
         )
 
     private fun stable(member: Instance): Boolean =
--- a/fleet/src/main/kotlin/boragering/fleet/PoolState.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/PoolState.kt
@@ -1,29 +1,42 @@
 package boragering.fleet
 
+import boragering.core.AvailabilityZone
 import boragering.core.FabricDomain
 
 /**
  * The state of a pool at one step of a [GroupPlanner]: its engine profile and its listed [instances].
  *
- * @property unreachable starts of instances that are listed but do not answer.
+ * @param unreachable starts of instances that are listed but do not answer.
+ * @param evacuated availability zones whose instances get no orders; the pool consists of those in the other zones.
  */
 class PoolState(
     val engine: EngineProfile,
     val instances: List<Instance>,
     private val unreachable: Set<InstanceStart> = emptySet(),
+    private val evacuated: Set<AvailabilityZone> = emptySet(),
 ) {
-    private val answeringByStart = instances.filter { it.start !in unreachable }.associateBy { it.start }
+    private val answeringByStart =
+        instances.filter { it.start !in unreachable && !isEvacuated(it) }.associateBy { it.start }
 
-    /** The listed instances that answer. */
+    /** The listed instances in evacuated zones. */
+    val withheld: List<Instance> get() = instances.filter(::isEvacuated)
+
+    /** The listed instances in open zones that answer. */
     val answering: Collection<Instance> get() = answeringByStart.values
 
     /** The instances in [answering] that are not leaving. */
     val serving: List<Instance> = answering.filter { it.state == InstanceState.SERVING }
 
     /** Returns this state with the instances replaced by [changed]. */
-    fun withInstances(changed: List<Instance>): PoolState = PoolState(engine, changed, unreachable)
+    fun withInstances(changed: List<Instance>): PoolState = PoolState(engine, changed, unreachable, evacuated)
+
+    /** Whether [instance] is in an evacuated zone. */
+    fun isEvacuated(instance: Instance): Boolean = instance.availabilityZone in evacuated
 
-    /** Returns the listed instance; `null` if this [start] of the instance is not listed or does not answer. */
+    /**
+     * Returns the listed instance; `null` if this [start] of the instance is not listed, does not answer or is in an
+     * evacuated zone.
+     */
     fun find(start: InstanceStart): Instance? = answeringByStart[start]
 }
 
--- a/fleet/src/main/kotlin/boragering/fleet/TargetIndex.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/TargetIndex.kt
@@ -1,5 +1,6 @@
 package boragering.fleet
 
+import boragering.core.AvailabilityZone
 import boragering.core.InstanceId
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
@@ -18,8 +19,15 @@
     private val groups = HashMap<ServiceGroup, Target>()
     private val plain = HashMap<InstanceId, Target>()
 
-    /** Returns the targets among the instances of [list]. Instances of services without a profile are ignored. */
-    fun update(list: InstanceList, profiles: Map<ServiceName, ServiceProfile>): TargetTable {
+    /**
+     * Returns the targets among the instances of [list], and withholds those with a member in one of the [evacuated]
+     * zones. Instances of services without a profile are ignored.
+     */
+    fun update(
+        list: InstanceList,
+        profiles: Map<ServiceName, ServiceProfile>,
+        evacuated: Set<AvailabilityZone> = emptySet(),
+    ): TargetTable {
         if (profiles != this.profiles) reset(profiles)
         val affected = HashSet<ServiceGroup>()
         list.instances.forEach { (id, instance) ->
@@ -32,7 +40,7 @@
         known.values.filter { it.id !in list.instances }.forEach { remove(it, affected) }
         known = list.instances
         affected.forEach(::refreshGroupTarget)
-        return TargetTable.of(groups.values + plain.values)
+        return TargetTable.of(groups.values + plain.values, evacuated)
     }
 
     private fun reset(changed: Map<ServiceName, ServiceProfile>) {
--- a/fleet/src/test/kotlin/boragering/fleet/FakePool.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/FakePool.kt
@@ -42,6 +42,7 @@
     val domain: FabricDomain,
     val startedAt: Long,
     private var staged: ModelName? = null,
+    val zone: AvailabilityZone = AvailabilityZone("z"),
 ) {
     /** A load of [model] from the weight store; [left] is the time that it still needs at full speed. */
     private class Load(val model: ModelName, var left: Duration)
@@ -138,7 +139,7 @@
         start = InstanceStart(id, startedAt),
         service = TestModels.service,
         address = Address(id.value, 1),
-        availabilityZone = AvailabilityZone("z"),
+        availabilityZone = zone,
         state = if (leaving) InstanceState.LEAVING else InstanceState.SERVING,
         domain = domain,
         // The list shows no model for an instance without a group, although it still has the last one loaded.
@@ -174,6 +175,9 @@
     var now = Duration.ZERO
         private set
 
+    /** The evacuated availability zones; each order to an instance in one of them is a violation. */
+    var evacuated = emptySet<AvailabilityZone>()
+
     /** Whether the planner runs. */
     var plannerRunning = true
 
@@ -190,9 +194,14 @@
         repeat(domains) { domain -> repeat(perDomain) { add(FabricDomain("d$domain")) } }
     }
 
-    fun add(domain: FabricDomain, staged: ModelName? = null) {
+    /** Adds an instance, in the availability zone of the same name as the [domain] unless told otherwise. */
+    fun add(
+        domain: FabricDomain,
+        staged: ModelName? = null,
+        zone: AvailabilityZone = AvailabilityZone(domain.value),
+    ) {
         started += 1
-        instances += FakeInstance(InstanceId("i$started"), domain, started, staged)
+        instances += FakeInstance(InstanceId("i$started"), domain, started, staged, zone)
     }
 
     /** Replaces the planner by one with a higher fence, which has none of the former planner's state. */
@@ -243,12 +252,13 @@
         (instance.alive && instance.unreachableUntil <= now) || now - diedAt.getValue(instance.id) < LISTED_AFTER_DEATH
 
     private fun plan() {
-        val step = planner.step(PoolState(engine, lists.first().second), now)
+        val step = planner.step(PoolState(engine, lists.first().second, evacuated = evacuated), now)
         step.orders.forEach { planner.recordOutcome(it, send(it)) }
     }
 
     private fun send(addressed: AddressedOrder): OrderOutcome {
         val instance = instances.first { it.id == addressed.instance.id }
+        if (instance.zone in evacuated) violations += "$now: ${addressed.order} to ${instance.id} in ${instance.zone}"
         return when {
             !instance.alive || instance.unreachableUntil > now -> OrderOutcome.NotSent("no answer")
             addressed.order is Order.Stage && instance.loading -> OrderOutcome.Busy
@@ -284,11 +294,11 @@
         }
     }
 
-    private fun table(): TargetTable {
+    fun table(): TargetTable {
         val listed = lists.firstOrNull()?.second.orEmpty().associateBy { it.id }
         val profile = ServiceProfile(TestModels.service, connections = 10, engine = engine)
         val list = InstanceList(1, persistentMapOf<InstanceId, Instance>().putAll(listed))
-        return TargetIndex().update(list, mapOf(profile.name to profile))
+        return TargetIndex().update(list, mapOf(profile.name to profile), evacuated)
     }
 
     companion object {
--- a/gateway/src/main/kotlin/boragering/gateway/AttemptDispatcher.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/AttemptDispatcher.kt
@@ -40,9 +40,13 @@
         when (val choice = chooseTarget()) {
             is Choice.Chosen -> null.also { send(choice, lastEventId) }
             Choice.Full -> "all targets are full"
-            Choice.None -> "no target can serve it"
+            Choice.None -> if (allEvacuated) "all targets are in evacuated zones" else "no target can serve it"
         }
 
+    private val allEvacuated: Boolean
+        get() = state.targets.targets(routed.service.name, routed.model).isEmpty() &&
+            state.targets.withholds(routed.service.name, routed.model)
+
     /** Time until a target may get the request, if all targets have asked for none until then; `null` if not. */
     val waitTime: Duration?
         get() = state.usages.waitTime(state.targets.targets(routed.service.name, routed.model))
--- a/gateway/src/main/kotlin/boragering/gateway/DocumentFreshness.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DocumentFreshness.kt
@@ -59,6 +59,13 @@
      */
     fun entryReturnDeadline(revision: StoreRevision): Duration? = availability.entryReturnDeadline(revision, now())
 
+    /**
+     * The time until which a document without a lease may be written again whose removal at [revision] is learned now;
+     * `null` if it was removed, rather than missing in a backup from which the store was restored.
+     */
+    fun documentReturnDeadline(revision: StoreRevision): Duration? =
+        availability.documentReturnDeadline(revision, now())
+
     internal fun onReachableElsewhere() = availability.onReachableElsewhere(now())
 
     internal fun onRestored(revision: StoreRevision) = availability.onRestored(now(), revision)
--- a/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
@@ -4,6 +4,7 @@
 import boragering.fleet.Configuration
 import boragering.fleet.InstanceList
 import boragering.fleet.InstanceStart
+import boragering.fleet.ZoneEvacuations
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
@@ -21,13 +22,19 @@
 
 /**
  * Receives the requests of callers, forwards each to a target that can serve it, and returns the target's response.
- * [configure] and [updateInstances] provide the configuration and the instances; both are called on the event loop.
+ * [configure], [updateEvacuations] and [updateInstances] provide the configuration, the evacuated availability zones
+ * and the instances; all are called on the event loop. The evacuations that are known must be passed before the first
+ * list of instances, because the gateway serves from then on.
  */
 class Gateway(private val settings: GatewaySettings, private val ports: GatewayPorts) {
     private val state = GatewayState(settings, ports)
     private val connections = LinkedHashSet<CallerConnection>()
     private var listener: Channel? = null
 
+    /** A connection that is paused for want of memory holds what one read has brought. */
+    private val receiveBuffers =
+        AdaptiveRecvByteBufAllocator(MIN_RECEIVE_BYTES, INITIAL_RECEIVE_BYTES, MAX_CHUNK_BYTES)
+
     /** Whether the gateway can serve requests. */
     val ready: Boolean get() = state.ready
 
@@ -46,6 +53,12 @@
     /** Number of targets that may get requests. */
     val targets: Int get() = state.targets.all.size
 
+    /** Number of evacuated availability zones. */
+    val evacuatedZones: Int get() = state.evacuations.zones.size
+
+    /** Number of targets that get no requests because a member is in an evacuated availability zone. */
+    val evacuatedTargets: Int get() = state.targets.withheld.size
+
     /** Receives other gateways' reports of prompt parts that crash targets. */
     val promptReports: PromptReports get() = state.promptGuard
 
@@ -59,7 +72,7 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers())
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNSENT_BYTES)
             .childHandler(initializer())
             .bind(address.host, address.port)
@@ -73,6 +86,9 @@
     /** Replaces the known instances by [list]. */
     fun updateInstances(list: InstanceList) = state.updateInstances(list)
 
+    /** Sends no further request to targets with a member in an evacuated availability zone of [evacuations]. */
+    fun updateEvacuations(evacuations: ZoneEvacuations) = state.updateEvacuations(evacuations)
+
     /** Handles the report of another gateway that the target with the head instance [head] seems to have failed. */
     fun onPeerSuspicion(head: InstanceStart) = state.suspicions.onPeerSuspicion(head)
 
@@ -136,10 +152,6 @@
         }
     }
 
-    /** A connection that is paused for want of memory holds what one read has brought. */
-    private fun receiveBuffers() =
-        AdaptiveRecvByteBufAllocator(MIN_RECEIVE_BYTES, INITIAL_RECEIVE_BYTES, MAX_CHUNK_BYTES)
-
     private companion object {
         val CHECK_INTERVAL = 50.milliseconds
         val IDLE_CHECK_INTERVAL = 200.milliseconds
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
@@ -12,6 +12,7 @@
 import boragering.fleet.TargetChoice
 import boragering.fleet.TargetIndex
 import boragering.fleet.TargetTable
+import boragering.fleet.ZoneEvacuations
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -67,6 +68,7 @@
     private var profiles = emptyMap<ServiceName, ServiceProfile>()
     private var instanceList: InstanceList? = null
     private val targetBook = TargetIndex()
+    private val evacuationLog = EvacuationLog(ports.log)
     private val startupActions = ArrayList<() -> Unit>()
     private val startedAt = now()
 
@@ -93,6 +95,10 @@
     var targets = TargetTable.EMPTY
         private set
 
+    /** The evacuated availability zones, and those that were reopened. */
+    var evacuations = ZoneEvacuations()
+        private set
+
     /** The drain of the gateway before the process stops; `null` before it begins. */
     var drain: GatewayDrain? = null
 
@@ -140,10 +146,16 @@
         refresh()
     }
 
+    fun updateEvacuations(known: ZoneEvacuations) {
+        evacuations = known
+        refresh()
+    }
+
     private fun refresh() {
         val known = instanceList ?: return
-        targets = targetBook.update(known, profiles)
+        targets = targetBook.update(known, profiles, evacuations.zones)
         usages.retain(targets)
+        if (routes != null) evacuationLog.report(evacuations, targets, now())
         if (routes != null && starting) endStartup()
     }
 
--- a/gateway/src/main/kotlin/boragering/gateway/PlannerLoop.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PlannerLoop.kt
@@ -1,5 +1,6 @@
 package boragering.gateway
 
+import boragering.core.AvailabilityZone
 import boragering.core.Clock
 import boragering.core.DaemonId
 import boragering.core.Store
@@ -25,6 +26,9 @@
     val list: InstanceList?
     val planner: String?
 
+    /** The availability zones whose instances get no orders and no other calls. */
+    val evacuatedZones: Set<AvailabilityZone>
+
     /** Whether this gateway is the only one in its availability zone. */
     val aloneInZone: Boolean
 
--- a/gateway/src/main/kotlin/boragering/gateway/PlannerTerm.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PlannerTerm.kt
@@ -44,10 +44,12 @@
         configuration.services.values.forEach { service ->
             val engine = service.engine?.takeIf { it.models.isNotEmpty() } ?: return@forEach
             val planner = planners.getOrPut(service.name) { GroupPlanner(fence) }
-            val step = planner.step(PoolState(engine, list.of(service.name), unreachable.keys), now)
+            val pool = PoolState(engine, list.of(service.name), unreachable.keys, view.evacuatedZones)
+            val step = planner.step(pool, now)
             sendOrders(planner, step, scope)
             // Suspicions are handled after the step, because a new planner does not know the serving groups before it.
-            suspicions.mapNotNull { planner.servedBy(it) }.flatten().forEach { scope.launch { probe(it) } }
+            val suspected = suspicions.mapNotNull { planner.servedBy(it) }.flatten()
+            suspected.filter(::mayBeCalled).forEach { scope.launch { probe(it) } }
             if (view.storeIsDown && now - lastObservedAt >= OBSERVATION_INTERVAL) {
                 lastObservedAt = now
                 scope.launch { queryInstances(planner.unsettled) }
@@ -57,21 +59,26 @@
 
     /** Requests reports from [instances], because the list does not change during an outage of the store. */
     private suspend fun queryInstances(instances: List<Instance>) {
-        val reports = instances.filter { it.start !in unreachable }.map { ports.orders.report(it).getOrNull() }
+        val asked = instances.filter { it.start !in unreachable && mayBeCalled(it) }
+        val reports = asked.map { ports.orders.report(it).getOrNull() }
         val seen = reports.mapNotNull { report -> report?.instance?.takeIf { it.start == report.start } }
         if (seen.isNotEmpty()) view.onObserved(seen)
     }
 
+    private fun mayBeCalled(instance: Instance): Boolean = instance.availabilityZone !in view.evacuatedZones
+
     private fun sendOrders(planner: GroupPlanner, step: PlanningStep, scope: CoroutineScope) {
         step.decisions.forEach { ports.log.event(it.decision, "group" to it.group, "reason" to it.reason) }
         step.orders.forEach { addressed -> scope.launch { sendOrder(planner, addressed) } }
     }
 
     private suspend fun sendOrder(planner: GroupPlanner, addressed: AddressedOrder) {
-        if (!lockHeld()) {
-            planner.recordOutcome(addressed, OrderOutcome.NotSent("the planner's lock is not held"))
-            return
+        val obstacle = when {
+            !lockHeld() -> "the planner's lock is not held"
+            !mayBeCalled(addressed.instance) -> "the availability zone is evacuated"
+            else -> null
         }
+        if (obstacle != null) return planner.recordOutcome(addressed, OrderOutcome.NotSent(obstacle))
         val outcome = dispatcher.send(addressed)
         if (outcome == OrderOutcome.Superseded) superseded = true
         planner.recordOutcome(addressed, outcome)
--- a/gateway/src/main/kotlin/boragering/gateway/StoreAvailability.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/StoreAvailability.kt
@@ -79,7 +79,7 @@
      * Entries that the backup lacked are missing in that state.
      */
     fun onRestored(now: Duration, revision: StoreRevision) {
-        recovery = Recovery(now, revision, complete = true)
+        recovery = Recovery(now, revision, complete = true, restored = true)
         regainedAt = now
         answeredBefore = true
     }
@@ -95,6 +95,14 @@
         return returnedAt?.plus(ENTRY_RETURN_TIME)?.takeIf { it > now }
     }
 
+    /**
+     * The time until which a document without a lease may be written again whose removal at [revision] becomes known at
+     * [now]: such a document is missing without having been removed only in a store that was restored from a backup.
+     * `null` if it was removed.
+     */
+    fun documentReturnDeadline(revision: StoreRevision, now: Duration): Duration? =
+        recovery?.takeIf { it.restored && revision <= it.revision }?.at?.plus(ENTRY_RETURN_TIME)?.takeIf { it > now }
+
     /**
      * The earliest time at which an outage may have begun in which [call] failed at [now]. The store may have been away
      * since its last answer, unless it accepted the call and kept it waiting, as it does while nothing changes.
@@ -113,7 +121,12 @@
         reachableElsewhereAt.let { it != null && now - it > MAX_NOTICE_DELAY }
 
     /** The first answer after a loss of entries in the store, with its state at [revision]. */
-    private class Recovery(val at: Duration, val revision: StoreRevision, val complete: Boolean) {
+    private class Recovery(
+        val at: Duration,
+        val revision: StoreRevision,
+        val complete: Boolean,
+        val restored: Boolean = false,
+    ) {
         fun completedBy(later: StoreRevision): Recovery = if (complete) this else Recovery(at, later, complete = true)
     }
 
--- a/gateway/src/main/kotlin/boragering/gateway/TargetUsages.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetUsages.kt
@@ -61,9 +61,12 @@
         targets[head]?.rate?.end(pools.loop.now())
     }
 
-    /** Removes the targets that are not in [table], except those with requests in progress. */
+    /**
+     * Removes the targets that are not in [table], except those with requests in progress. What withheld targets have
+     * stated is kept until they may get requests again.
+     */
     fun retain(table: TargetTable) {
-        val kept = table.all.mapTo(HashSet()) { it.head }
+        val kept = (table.all + table.withheld).mapTo(HashSet()) { it.head }
         targets.entries.removeIf { (start, usage) ->
             (start !in kept && usage.load.ownInFlight == 0).also { if (it) usage.pool.close() }
         }
--- a/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
@@ -20,6 +20,7 @@
 import boragering.fleet.ServiceName
 import boragering.fleet.ServiceProfile
 import boragering.fleet.WeightedService
+import boragering.fleet.ZoneEvacuations
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
@@ -92,6 +93,7 @@
     )
     private val ports =
         GatewayPorts(loop, DecisionLog(clock), GatewayMetrics(MetricRegistry()), Random(1), { 1 })
+    private var evacuations = ZoneEvacuations()
     val gateway = Gateway(settings, ports)
     val address = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
 
@@ -106,6 +108,14 @@
         gateway.updateInstances(list())
     }
 
+    /** Tells the gateway that operators have evacuated [evacuated] and no other availability zones. */
+    fun evacuate(vararg evacuated: String) = onLoop {
+        val now = clock.monotonic()
+        val opened = evacuations.zones.fold(evacuations) { known, zone -> known.reopen(zone, now) }
+        evacuations = evacuated.fold(opened) { known, zone -> known.evacuate(AvailabilityZone(zone), now) }
+        gateway.updateEvacuations(evacuations)
+    }
+
     fun onLoop(action: () -> Unit) {
         val done = CountDownLatch(1)
         loop.execute {
@@ -123,7 +133,7 @@
     private fun list(): InstanceList {
         val instances = targets.mapIndexed { index, target ->
             val start = InstanceStart(InstanceId("i$index"), 1)
-            Instance(start, service, target.address, AvailabilityZone("z"), InstanceState.SERVING, slots = 4)
+            Instance(start, service, target.address, AvailabilityZone(target.zone), InstanceState.SERVING, slots = 4)
         }
         return InstanceList(1, persistentMapOf<InstanceId, Instance>().putAll(instances.associateBy { it.id }))
     }
--- a/gateway/src/test/kotlin/boragering/gateway/PlannerTermTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/PlannerTermTest.kt
@@ -51,6 +51,7 @@
     override val configuration: Configuration? = null
     override val list: InstanceList? = null
     override val planner: String? = null
+    override val evacuatedZones = emptySet<AvailabilityZone>()
     override val aloneInZone = false
     override val storeIsDown = false
     override val storeEra = 0L
--- a/gateway/src/test/kotlin/boragering/gateway/ScriptedTarget.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/ScriptedTarget.kt
@@ -105,6 +105,9 @@
     private val sockets = CopyOnWriteArrayList<Socket>()
     val address = Address("127.0.0.1", server.localPort)
 
+    /** The availability zone, which is that of the gateway unless a test sets another one. */
+    var zone = "z"
+
     init {
         thread(isDaemon = true) {
             while (!server.isClosed) {
--- a/gateway/src/test/kotlin/boragering/gateway/StoreAvailabilityTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/StoreAvailabilityTest.kt
@@ -42,6 +42,19 @@
         }
     }
 
+    describe("documents without a lease that disappear") {
+        it("may return if the store was restored (guards against requests to a zone that should stay evacuated)") {
+            val restored = answering().apply { onRestored(16.seconds, atReturn) }
+            restored.documentReturnDeadline(atReturn, 17.seconds) shouldBe 18_300.milliseconds
+            restored.documentReturnDeadline(atReturn, 19.seconds) shouldBe null
+            restored.documentReturnDeadline(afterReturn, 17.seconds) shouldBe null
+        }
+
+        it("were removed if the store was only away (guards against zones that stay evacuated without need)") {
+            lostFrom10To(end = 16).documentReturnDeadline(atReturn, 16.seconds) shouldBe null
+        }
+    }
+
     describe("entries that disappear in an outage of the store") {
         it("may return for a time after its end (guards against the loss of all targets)") {
             lostFrom10To(end = 16).entryReturnDeadline(atReturn, 16.seconds) shouldBe 18_300.milliseconds
