Treat a response with an invalid status as lost

A target's status below 100 counted as provisional, so that the request waited for its deadline; 101 did too, and 600 to 999 were passed on to callers. Such a response, and 101, now ends the attempt as one whose response is lost: the connection is closed, a request that may be repeated is sent again within the retry budget, and any other gets 502. The gateway's own calls (HttpCallClient) share the code and report such a response as unreadable. The daemon's client (HttpTargetCalls) reports it as broken. The Keep-Alive header of a connection is parsed only when it changes.

HttpTargetCallsTest passes with its five new cases, which were not run without the change.

--- a/adapters/src/main/kotlin/boragering/adapters/HttpTargetCalls.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/HttpTargetCalls.kt
@@ -100,12 +100,13 @@
         }
     }
 
-    private fun HttpResponse.refusal(operation: String): TargetFailure? =
-        if (headers[NOT_RUN_HEADER].equals("true", ignoreCase = true)) {
+    /** The failure that the head of the response tells; `null` if it tells none. */
+    private fun HttpResponse.refusal(operation: String): TargetFailure? = when {
+        status.value !in STATUSES -> TargetFailure.Broken("$operation: ${status.value} is not the status of a response")
+        headers[NOT_RUN_HEADER].equals("true", ignoreCase = true) ->
             TargetFailure.Refused("$operation: refused with status ${status.value}", status.value)
-        } else {
-            null
-        }
+        else -> null
+    }
 
     private fun cancelOnTarget(call: TargetCall) {
         if (!call.path.startsWith(MODEL_PATH_PREFIX)) return
@@ -121,6 +122,9 @@
         const val NOT_RUN_HEADER = "Boragering-Not-Run"
         private const val MODEL_PATH_PREFIX = "/v1/"
         private val CANCEL_TIMEOUT = 2.seconds
+
+        /** Statuses of final responses. */
+        private val STATUSES = 200..599
     }
 }
 
--- a/adapters/src/test/kotlin/boragering/adapters/HttpTargetCallsTest.kt
+++ b/adapters/src/test/kotlin/boragering/adapters/HttpTargetCallsTest.kt
@@ -45,6 +45,16 @@
         }
     }
 
+    describe("a response whose status is no final HTTP status") {
+        listOf("000", "099", "101", "600", "999").forEach { status ->
+            it("is broken, and nothing of it is received: $status (guards against answers that are none)") {
+                val (result, parts) = sendAndCollect("HTTP/1.1 $status X\r\nContent-Length: 2\r\n\r\nno", "/orders")
+                result.leftOrNull().shouldBeInstanceOf<TargetFailure.Broken>()
+                parts shouldBe emptyList()
+            }
+        }
+    }
+
     describe("a body with a declared length") {
         it("is complete when the declared length was received") {
             val (result, parts) = sendAndCollect("HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nok", "/orders")
--- a/gateway/src/main/kotlin/boragering/gateway/ResponseClassifier.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ResponseClassifier.kt
@@ -77,15 +77,16 @@
     private var identified = true
     private var extraResponseSeen = false
 
+    /** The header that was read last; a target sends the same one in all its responses. */
+    private var keepAliveHeader: String? = null
+
     /** Classifies [response] with regard to the call with [requestId]. */
     fun classify(response: HttpResponse, requestId: String?): HeadClassification {
         val echoedId = identity?.let { response.headers().get(it.requestIdHeader) }
         val status = response.status().code()
+        val defect = defect(response)
         return when {
-            response.decoderResult().isFailure ->
-                HeadClassification.Unusable(malformed(response.decoderResult().cause()))
-            ResponseFraming.containsStatusLine(response) ->
-                HeadClassification.Unusable(CallFailure.Lost("the head runs into that of another response"))
+            defect != null -> HeadClassification.Unusable(defect)
             status < FIRST_FINAL_STATUS -> HeadClassification.Skipped
             requestId != null && echoedId != null && echoedId != requestId -> {
                 extraResponseSeen = true
@@ -107,7 +108,11 @@
         identified = identity == null || headers.contains(identity.requestIdHeader)
         val delimited = HopByHop.hasDelimitedBody(headers) || bodiless
         reusable = identified && delimited && !extraResponseSeen && HttpUtil.isKeepAlive(response)
-        headers.get("Keep-Alive")?.let { keepAliveTime = parseKeepAliveTimeout(it) ?: keepAliveTime }
+        val keepAlive = headers.get("Keep-Alive")
+        if (keepAlive != null && keepAlive != keepAliveHeader) {
+            keepAliveTime = parseKeepAliveTimeout(keepAlive) ?: keepAliveTime
+            keepAliveHeader = keepAlive
+        }
     }
 
     /** Whether [content] shows that the current response, which has no id, is not the last one on the connection. */
@@ -116,6 +121,19 @@
         return !identified && (followed || ResponseFraming.startsWithStatusLine(content))
     }
 
+    /** Why [response] cannot belong to any call; `null` if it can. No call asks for another protocol, as 101 says. */
+    private fun defect(response: HttpResponse): CallFailure? {
+        val status = response.status().code()
+        return when {
+            response.decoderResult().isFailure -> malformed(response.decoderResult().cause())
+            ResponseFraming.containsStatusLine(response) ->
+                CallFailure.Lost("the head runs into that of another response")
+            status !in STATUSES || status == SWITCHING_PROTOCOLS ->
+                CallFailure.Lost("$status is not the status of a response")
+            else -> null
+        }
+    }
+
     private fun lacksSignature(response: HttpResponse): Boolean =
         identity != null && response.headers().get(identity.signatureHeader).isNullOrBlank()
 
@@ -131,6 +149,8 @@
             ?.let { (it.seconds - KEEP_ALIVE_MARGIN).coerceAtLeast(Duration.ZERO) }
 
     private companion object {
+        val STATUSES = 100..599
+        const val SWITCHING_PROTOCOLS = 101
         const val FIRST_FINAL_STATUS = 200
         const val FIRST_FAILURE_STATUS = 300
         val STATUSES_WITHOUT_BODY = setOf(204, 304)
