--- a/fleet/src/main/kotlin/boragering/fleet/Target.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/Target.kt
@@ -29,7 +29,7 @@
     val memberZones: PersistentSet<AvailabilityZone> = persistentSetOf(availabilityZone),
 ) {
     /** The start of the instance that receives the requests. */
-    val head: InstanceStart get() = members.first()
+    val head: InstanceStart = members.first()
 }
 
 /**
