Decide by load and delay when requests leave their zone, and avoid slow targets

Cause: leaving the availability zone had a fixed cost of 0.05 of occupancy, however full the zone and whatever the delay; an instance that became slow was noticed only through requests that wait for their first event.

Change: ZoneSpillover, ZoneChoice and ZoneEstimates decide, if the choice is given the delays between zones, which requests leave. TargetPace measures the gaps between events, PaceComparison compares them with the median.

Tested: fleet's ZoneSpilloverTest, TargetPaceTest and PeakDayTest pass, and its lint. The gateway does not use the parts yet in this commit.

--- a/fleet/src/main/kotlin/boragering/fleet/Configuration.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/Configuration.kt
@@ -105,6 +105,7 @@
  * @property loadsAtOnce number of concurrent weight loads above which each load takes proportionally longer.
  * @property formationTime time from the order to open the head of a complete group until the group serves.
  * @property reportLag age of the data that engines report about themselves.
+ * @property delays the delays between availability zones; `null` if they are not configured.
  */
 data class EngineProfile(
     val slots: Int,
@@ -113,6 +114,7 @@
     val loadsAtOnce: Int,
     val formationTime: Duration,
     val reportLag: Duration = Duration.ZERO,
+    val delays: ZoneDelays? = null,
 )
 
 /**
--- a/fleet/src/main/kotlin/boragering/fleet/LoadEstimate.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/LoadEstimate.kt
@@ -10,15 +10,22 @@
  * A gateway knows its own requests exactly and those of the other [gateways] only from the targets' reports, which
  * arrive with responses. The weight of a report decays with its age. What a target's own report no longer tells is
  * replaced by the mean of the recent reports about all candidates: under a peak of demand, the targets that have become
- * slow report least, and counting only this gateway's requests there would make them look free.
+ * slow report least, and counting only this gateway's requests there would make them look free. Without reports, each
+ * candidate is expected to have [expectedOthers] requests of other gateways or, if that is `null`, as many of each
+ * other gateway as of this one.
  */
-class LoadEstimate(candidates: List<Candidate>, gateways: Int, private val now: Duration) {
+class LoadEstimate(
+    candidates: List<Candidate>,
+    gateways: Int,
+    private val now: Duration,
+    expectedOthers: Double? = null,
+) {
     private val meanOfOthers: Double
 
     init {
         val reports = candidates.mapNotNull { it.load.report }
         val ownMean = candidates.sumOf { it.load.ownInFlight } / candidates.size.coerceAtLeast(1).toDouble()
-        val expected = ownMean * (gateways - 1).coerceAtLeast(0)
+        val expected = expectedOthers ?: ownMean * (gateways - 1).coerceAtLeast(0)
         val weights = reports.sumOf(::weight) + EXPECTATION_WEIGHT
         meanOfOthers = (reports.sumOf { weight(it) * it.others } + EXPECTATION_WEIGHT * expected) / weights
     }
--- a/fleet/src/main/kotlin/boragering/fleet/TargetChoice.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/TargetChoice.kt
@@ -23,12 +23,16 @@
  * @property now time of the choice, by the monotonic clock.
  * @property targetLatency time within which the request's first event or answer counts as on time.
  * @property repeated whether another target has failed the request.
+ * @property targetGap longest pause between events within which a stream counts as on time; `null` for any pause.
+ * @property zones what decides whether the request leaves the availability zone; `null` for a fixed cost of leaving.
  */
 data class ChoiceContext(
     val gateways: Int,
     val now: Duration,
     val targetLatency: Duration,
     val repeated: Boolean = false,
+    val targetGap: Duration? = null,
+    val zones: ZoneTerms? = null,
 )
 
 /**
@@ -40,14 +44,22 @@
  * a request of this gateway has been waiting at the target, since a later request will not be answered sooner.
  */
 class TargetChoice(private val availabilityZone: AvailabilityZone, private val random: Random) {
+    private val zoneChoice = ZoneChoice(availabilityZone, random)
+
     /** Chooses a target among [candidates]. */
     fun choose(candidates: List<Candidate>, context: ChoiceContext): Choice {
         val open = candidates.filter { !it.load.rateLimited }
         val healthy = open.filter { !it.load.suspected(context.now) }.ifEmpty { open }
-        val estimate = LoadEstimate(healthy, context.gateways, context.now)
-        val loads = healthy.map { CandidateLoad(it, estimate.occupancy(it) + waitingLoad(it, context)) }
+        val occupancy = occupancies(healthy, context)
+        val paces = PaceComparison(healthy)
+        val loads = healthy.map {
+            val expected = occupancy(it) + waitingLoad(it, context)
+            CandidateLoad(it, expected, paces.factor(it), paces.tooLate(it, context.targetGap))
+        }
         val limit = if (context.repeated) MAX_OCCUPANCY_FOR_REPEATED else MAX_OCCUPANCY
-        val chosen = loads.filter { it.candidate.target.group == null || it.occupancy < limit }.minByOrNull(::cost)
+        val usable = loads.filter { it.candidate.target.group == null || it.occupancy < limit }
+        val narrowed = context.zones?.let { zoneChoice.narrow(loads, usable, context, it) } ?: usable
+        val chosen = narrowed.minByOrNull(::cost)
         return when {
             chosen != null -> Choice.Chosen(chosen.candidate, chosen.occupancy)
             candidates.isEmpty() -> Choice.None
@@ -55,7 +67,10 @@
         }
     }
 
-    private class CandidateLoad(val candidate: Candidate, val occupancy: Double)
+    private fun occupancies(candidates: List<Candidate>, context: ChoiceContext): (Candidate) -> Double {
+        val zones = context.zones ?: return LoadEstimate(candidates, context.gateways, context.now)::occupancy
+        return ZoneEstimates(candidates, context, availabilityZone, zones)::occupancy
+    }
 
     private fun waitingLoad(candidate: Candidate, context: ChoiceContext): Double {
         val since = candidate.load.awaitingSince
@@ -66,7 +81,7 @@
     private fun cost(load: CandidateLoad): Double {
         val sameZone = load.candidate.target.availabilityZone == availabilityZone
         val distance = if (sameZone) 0.0 else CROSS_ZONE_COST
-        return load.occupancy + distance + random.nextDouble() * TIE_BREAK
+        return load.comparedOccupancy + distance + random.nextDouble() * TIE_BREAK
     }
 
     private companion object {
--- a/fleet/src/main/kotlin/boragering/fleet/TargetLoad.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/TargetLoad.kt
@@ -37,5 +37,5 @@
     val others: Int get() = (running + waiting - ownInFlight).coerceAtLeast(0)
 }
 
-/** A target that may be chosen, and its load. */
-data class Candidate(val target: Target, val load: TargetLoad)
+/** A target that may be chosen, its load, and its pace, which is `null` if it is not known. */
+data class Candidate(val target: Target, val load: TargetLoad, val pace: PaceEstimate? = null)
--- a/fleet/src/test/kotlin/boragering/fleet/EmulatedGroup.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/EmulatedGroup.kt
@@ -40,6 +40,9 @@
     private var passEnd = Duration.ZERO
     private var passRuns = false
 
+    /** Factor by which the group is slower than its timing now. */
+    var slowness = 1.0
+
     val runningCount: Int get() = running.size
     val waitingCount: Int get() = waiting.size
 
@@ -84,7 +87,7 @@
         val decode = if (writers.isEmpty()) 0.0 else steps * stepTime
         writersInPass = writers
         passRuns = true
-        passEnd = now + (timing.pace * (decode + read / timing.promptTokensPerMillisecond)).milliseconds
+        passEnd = now + (timing.pace * slowness * (decode + read / timing.promptTokensPerMillisecond)).milliseconds
     }
 
     private fun endPass() {
