Let gateways use zone delays and the pace of targets

Cause: the decisions in fleet had no inputs: the configuration's table of delays was ignored, and nothing measured the time between events.

TargetAttempt reports gaps between events to TargetUsage; TargetUsages passes the pace to the choice.

No test of the gateway drives a slow target over a network.

--- a/gateway/src/main/kotlin/boragering/gateway/AttemptDispatcher.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/AttemptDispatcher.kt
@@ -92,6 +92,7 @@
 
     /** Pauses or resumes reading of the response. */
     fun setReading(enabled: Boolean) {
+        if (!enabled) attempt?.readingPaused = true
         callHandle?.setReading(enabled)
     }
 
@@ -103,6 +104,8 @@
                 now = state.now(),
                 targetLatency = routed.route.targetLatency,
                 repeated = sendCount > 0 || failedConnects > 0,
+                targetGap = routed.route.targetGap,
+                zones = state.spillovers.terms(routed),
             ),
         )
 
@@ -123,6 +126,7 @@
         sendCount += 1
         attempt = next
         usage.onRequestStart(next.startedAt)
+        state.spillovers.onSend(routed, target, next.startedAt)
         log.requestSent(chosen, sendCount)
         val started = usage.pool.send(next, routed.service.connectionLimit(state.ports.gatewayCount()))
         if (attempt === next) callHandle = started
--- a/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
@@ -46,6 +46,9 @@
     /** Number of targets that may get requests. */
     val targets: Int get() = state.targets.all.size
 
+    /** Number of targets whose events come more slowly than those of the others of their service and model. */
+    val slowTargets: Int get() = state.paceMonitor.slowTargets
+
     /** Receives other gateways' reports of prompt parts that crash targets. */
     val promptReports: PromptReports get() = state.promptGuard
 
@@ -53,6 +56,7 @@
     fun listen(address: Address) {
         scheduleTimeoutCheck()
         ports.loop.every(CALLER_CHECK_INTERVAL) { connections.toList().forEach { it.checkTimeouts(ports.loop.now()) } }
+        ports.loop.every(PACE_CHECK_INTERVAL) { state.paceMonitor.check() }
         ports.loop.after(MAX_STARTUP_TIME) { state.endStartup() }
         val bound = ServerBootstrap().group(ports.loop.group)
             .channel(NioServerSocketChannel::class.java)
@@ -141,6 +145,7 @@
         AdaptiveRecvByteBufAllocator(MIN_RECEIVE_BYTES, INITIAL_RECEIVE_BYTES, MAX_CHUNK_BYTES)
 
     private companion object {
+        val PACE_CHECK_INTERVAL = 1.seconds
         val CHECK_INTERVAL = 50.milliseconds
         val IDLE_CHECK_INTERVAL = 200.milliseconds
 
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayMetrics.kt
@@ -22,6 +22,13 @@
     private val quarantines =
         registry.counter { name("boragering_gateway_quarantines").help("prompt parts kept from targets") }
 
+    private val zoneSends =
+        registry.counter {
+            name("boragering_gateway_zone_sends").help("sends within and across availability zones").labelNames("zone")
+        }
+
+    internal fun recordZoneSend(home: Boolean) = zoneSends.labelValues(if (home) "home" else "away").inc()
+
     internal fun recordTargetCrash() = crashes.inc()
 
     internal fun recordQuarantine() = quarantines.inc()
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
@@ -78,6 +78,8 @@
     val log: DecisionLog get() = ports.log
     val usages = TargetUsages(pools, responseIdentity(headerNames), ports)
     val targetChoice = TargetChoice(settings.availabilityZone, ports.random)
+    val spillovers = ZoneSpillovers(settings.availabilityZone, ports)
+    val paceMonitor = PaceMonitor(this)
     val exchanges = LinkedHashSet<Exchange>()
     val promptGuard = PromptGuard(ports)
     val loopLag = LoopLag(startedAt)
--- a/gateway/src/main/kotlin/boragering/gateway/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetAttempt.kt
@@ -58,6 +58,9 @@
     var lastProgressAt = startedAt
         private set
 
+    /** Whether reading was paused since the last event; the time until the next one is then not the target's. */
+    var readingPaused = false
+
     /** Whether events of a stream have arrived. */
     var streaming = false
         private set
@@ -111,13 +114,17 @@
     }
 
     private fun forwardEvent(current: ResponseHead, event: ByteArray, id: Long?) {
+        val previousAt = lastProgressAt
         recordProgress()
         repeated = repeated || containsHead(event)
         if (repeated) return
         if (!streaming) {
             streaming = true
             usage.onStreamStart(startedAt)
+        } else if (!readingPaused) {
+            usage.pace.onGap(lastProgressAt - previousAt, lastProgressAt)
         }
+        readingPaused = false
         listener.onEvent(this, current, event, id)
     }
 
--- a/gateway/src/main/kotlin/boragering/gateway/TargetUsages.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetUsages.kt
@@ -9,6 +9,7 @@
 import boragering.fleet.ServiceProfile
 import boragering.fleet.Target
 import boragering.fleet.TargetLoad
+import boragering.fleet.TargetPace
 import boragering.fleet.TargetRate
 import boragering.fleet.TargetTable
 import kotlin.time.Duration
@@ -50,9 +51,21 @@
     /** Combines those of [targets] that may get a new request with their loads. */
     fun candidates(targets: List<Target>): List<Candidate> {
         val now = pools.loop.now()
+        val gateways = ports.gatewayCount()
         return leaving.usable(backoffs.usable(targets, now), now).map { target ->
             val usage = of(target)
-            Candidate(target, if (usage.rate.mayTake(now)) usage.load else usage.load.copy(rateLimited = true))
+            val load = if (usage.rate.mayTake(now)) usage.load else usage.load.copy(rateLimited = true)
+            Candidate(target, load, usage.pace.estimate(now, gateways))
+        }
+    }
+
+    /** Those of [targets] whose pace is known. */
+    fun paces(targets: List<Target>): List<Candidate> {
+        val now = pools.loop.now()
+        val gateways = ports.gatewayCount()
+        return targets.mapNotNull { target ->
+            val usage = this.targets[target.head]
+            usage?.pace?.estimate(now, gateways)?.let { Candidate(target, usage.load, it) }
         }
     }
 
@@ -74,8 +87,9 @@
  * The connections, the load and the recent activity of one target.
  *
  * @property rate the rate of requests that the target takes.
+ * @property pace the time between the events of the target's streams.
  */
-internal class TargetUsage(val pool: ConnectionPool, val rate: TargetRate) {
+internal class TargetUsage(val pool: ConnectionPool, val rate: TargetRate, val pace: TargetPace = TargetPace()) {
     /** When the requests without an event or an answer were sent, oldest first. */
     private val awaiting = ArrayList<Duration>()
     private var activeStreams = 0
@@ -88,6 +102,7 @@
     /** Called when a request is sent at [now]. */
     fun onRequestStart(now: Duration) {
         rate.onSend(now)
+        pace.onSend(now)
         awaiting += now
         load = load.copy(ownInFlight = load.ownInFlight + 1, awaitingSince = awaiting.first())
     }
--- /dev/null
+++ b/gateway/src/main/kotlin/boragering/gateway/ZoneSpillovers.kt
@@ -0,0 +1,60 @@
+package boragering.gateway
+
+import boragering.core.AvailabilityZone
+import boragering.fleet.ModelName
+import boragering.fleet.ServiceName
+import boragering.fleet.Target
+import boragering.fleet.ZoneSpillover
+import boragering.fleet.ZoneTerms
+import kotlin.math.abs
+import kotlin.time.Duration
+
+/**
+ * For each service and model, the fraction of this gateway's requests that may leave the availability zone [own]. Used
+ * on the event loop only.
+ */
+internal class ZoneSpillovers(private val own: AvailabilityZone, private val ports: GatewayPorts) {
+    private data class Key(val service: ServiceName, val model: ModelName?)
+
+    private class Entry {
+        val spillover = ZoneSpillover()
+        var loggedFraction = 0.0
+    }
+
+    private val entries = object : LinkedHashMap<Key, Entry>() {
+        override fun removeEldestEntry(eldest: MutableMap.MutableEntry<Key, Entry>): Boolean = size > MAX_ENTRIES
+    }
+
+    /** What decides whether [routed] leaves the zone; `null` if the fixed cost of leaving applies. */
+    fun terms(routed: RoutedRequest): ZoneTerms? {
+        val delays = routed.service.engine?.delays?.takeIf { it.matter(own, routed.route.targetLatency) }
+        return delays?.let { ZoneTerms(it, entry(routed).spillover) }
+    }
+
+    /** Counts the send of [routed] to [target] at [now], and logs a changed fraction. */
+    fun onSend(routed: RoutedRequest, target: Target, now: Duration) {
+        ports.metrics.recordZoneSend(home = target.availabilityZone == own)
+        if (routed.service.engine?.delays == null) return
+        val entry = entry(routed)
+        val fraction = entry.spillover.fraction(now)
+        if (abs(fraction - entry.loggedFraction) < LOGGED_CHANGE) return
+        entry.loggedFraction = fraction
+        ports.log.event(
+            "zone-spillover",
+            "service" to routed.service.name,
+            "model" to routed.model,
+            "fraction" to fraction,
+            "usualOccupancy" to entry.spillover.usualOccupancy,
+        )
+    }
+
+    private fun entry(routed: RoutedRequest): Entry =
+        entries.getOrPut(Key(routed.service.name, routed.model)) { Entry() }
+
+    private companion object {
+        const val LOGGED_CHANGE = 0.1
+
+        /** The names of models come from requests. */
+        const val MAX_ENTRIES = 64
+    }
+}
