--- a/gateway/src/main/kotlin/boragering/gateway/AttemptDispatcher.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/AttemptDispatcher.kt
@@ -96,6 +96,7 @@
 
     /** Pauses or resumes reading of the response. */
     fun setReading(enabled: Boolean) {
+        if (!enabled) attempt?.readingPaused = true
         callHandle?.setReading(enabled)
     }
 
@@ -107,6 +108,8 @@
                 now = state.now(),
                 targetLatency = routed.route.targetLatency,
                 repeated = sendCount > 0 || failedConnects > 0,
+                targetGap = routed.route.targetGap,
+                zones = state.spillovers.terms(routed),
             ),
         )
 
@@ -128,6 +131,7 @@
         sendCount += 1
         attempt = next
         usage.onRequestStart(next.startedAt)
+        state.spillovers.onSend(routed, target, next.startedAt)
         log.requestSent(chosen, sendCount)
         val started = usage.pool.send(next, routed.service.connectionLimit(state.ports.gatewayCount()))
         if (attempt === next) callHandle = started
--- a/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
@@ -65,6 +65,9 @@
     /** Number of targets that get no requests because a member is in an evacuated availability zone. */
     val evacuatedTargets: Int get() = state.targets.withheld.size
 
+    /** Number of targets whose events come more slowly than those of the others of their service and model. */
+    val slowTargets: Int get() = state.paceMonitor.slowTargets
+
     /** Receives other gateways' reports of prompt parts that crash targets. */
     val promptReports: PromptReports get() = state.promptGuard
 
@@ -73,6 +76,7 @@
         scheduleTimeoutCheck()
         ports.loop.every(CALLER_CHECK_INTERVAL) { connections.toList().forEach { it.checkTimeouts(ports.loop.now()) } }
         ports.loop.every(DemandObserver.INTERVAL, state.demand::observe)
+        ports.loop.every(PACE_CHECK_INTERVAL) { state.paceMonitor.check() }
         ports.loop.after(MAX_STARTUP_TIME) { state.endStartup() }
         val bound = ServerBootstrap().group(ports.loop.group)
             .channel(NioServerSocketChannel::class.java)
@@ -160,6 +164,7 @@
     }
 
     private companion object {
+        val PACE_CHECK_INTERVAL = 1.seconds
         val CHECK_INTERVAL = 50.milliseconds
         val IDLE_CHECK_INTERVAL = 200.milliseconds
 
