Share capacity by urgency and among organisations when it is short

Cause: when all targets were full, a gateway refused callers with a random retry time of 0.3 to 0.7 s, whatever their urgency or organisation. A less urgent kind took the capacity of a more urgent one, an organisation with 7.5 times its usual rate took that of the others, and callers that repeated at once were served more often than those that came back as told.

Change: where routes of different priority lead to one service, a request that finds all targets full waits at most a quarter of its target latency, or is rejected as not run. The waiting requests are ordered by urgency, by return and by what their organisations have had. While requests of a lower rank lack capacity, others fill targets less far. Requests to other services take the same path as before.

--- a/core/src/main/kotlin/boragering/core/membership/PeerMessage.kt
+++ b/core/src/main/kotlin/boragering/core/membership/PeerMessage.kt
@@ -112,6 +112,11 @@
     @SerialName("target-rate-ended")
     data class TargetRateEnded(val head: InstanceId, val startedAt: Long?) : PeerMessage
 
+    /** The sender's recent requests for capacity that is shared by urgency; see [LaneCounts]. */
+    @Serializable
+    @SerialName("admission-counts")
+    data class AdmissionCounts(val lanes: List<LaneCounts>) : PeerMessage
+
     /** Requests the store's documents that changed after [after] of [era], because the store does not answer. */
     @Serializable
     @SerialName("document-request")
@@ -176,6 +181,23 @@
 @Serializable
 data class LostPrompt(val parts: List<String>, val proven: List<String>, val ageMilliseconds: Long)
 
+/**
+ * Recent requests for one service and model at one gateway, with exponential decay, in tenths of requests.
+ *
+ * @property shortRank the lowest rank of requests that lacked capacity during the last second; `null` if none did.
+ * @property asked requests of each of the [organisations].
+ * @property served those of them that were sent to a target.
+ */
+@Serializable
+data class LaneCounts(
+    val service: String,
+    val model: String?,
+    val shortRank: Int?,
+    val organisations: List<String>,
+    val asked: List<Int>,
+    val served: List<Int>,
+)
+
 /** The models and the group that an instance reports; [group] is `null` if the instance belongs to no group. */
 @Serializable
 data class ObservedInstance(
--- a/core/src/main/kotlin/boragering/core/membership/PeerTrafficMetrics.kt
+++ b/core/src/main/kotlin/boragering/core/membership/PeerTrafficMetrics.kt
@@ -15,6 +15,7 @@
     TARGET_SUSPICION,
     PROMPTS,
     TARGET_RATE,
+    ADMISSION,
 }
 
 /** The kind of this message. All messages that compare versions count as [PeerMessageKind.DIGEST]. */
@@ -31,6 +32,7 @@
         is PeerMessage.GroupSummaries -> PeerMessageKind.GROUP_SUMMARIES
         is PeerMessage.TargetSuspicion -> PeerMessageKind.TARGET_SUSPICION
         is PeerMessage.TargetRateEnded -> PeerMessageKind.TARGET_RATE
+        is PeerMessage.AdmissionCounts -> PeerMessageKind.ADMISSION
         is PeerMessage.PromptCrash, is PeerMessage.PromptPartQuarantined, is PeerMessage.PromptPartAnswered ->
             PeerMessageKind.PROMPTS
         is PeerMessage.DocumentRequest, is PeerMessage.Documents -> PeerMessageKind.DOCUMENTS
--- /dev/null
+++ b/fleet/src/main/kotlin/boragering/fleet/AdmissionRequest.kt
@@ -0,0 +1,103 @@
+package boragering.fleet
+
+import boragering.core.OrganisationName
+import kotlin.time.Duration
+
+/**
+ * What the admission of one request depends on. Times are of the monotonic clock.
+ *
+ * @property urgency rank of the request; 0 is the most urgent.
+ * @property arrivedAt when the request arrived at this gateway.
+ * @property deadline when the caller stops waiting.
+ * @property caller what is known of the caller's earlier attempts.
+ */
+data class AdmissionRequest(
+    val organisation: OrganisationName?,
+    val urgency: Int,
+    val targetLatency: Duration,
+    val arrivedAt: Duration,
+    val deadline: Duration,
+    val caller: CallerAttempt = CallerAttempt.First,
+) {
+    /** Until when the request may wait for capacity. */
+    val waitUntil: Duration
+        get() {
+            val onTime = targetLatency * WAIT_FRACTION - caller.elapsed
+            return minOf(arrivedAt + maxOf(onTime, targetLatency * LATE_WAIT_FRACTION), deadline)
+        }
+
+    /** Whether the caller has come back early enough for an answer within the target latency of its first attempt. */
+    val returnedInTime: Boolean
+        get() = caller is CallerAttempt.Returned && caller.elapsed < targetLatency * RETURN_FRACTION
+
+    /** Whether the caller has come back too late for that. */
+    val returnedLate: Boolean get() = caller is CallerAttempt.Returned && !returnedInTime
+
+    /** Fractions of the target latency. */
+    companion object {
+        /** Fraction of the target latency of which the rest suffices for an answer. */
+        private const val RETURN_FRACTION = 0.6
+
+        /** Fraction of the target latency that a request may wait; the rest is left for its answer. */
+        internal const val WAIT_FRACTION = 0.25
+
+        /** Fraction of the target latency that a request may wait that is unlikely to be answered on time. */
+        private const val LATE_WAIT_FRACTION = 0.125
+    }
+}
+
+/** The result of an attempt to send a waiting request. */
+enum class SendResult {
+    /** The request was sent. */
+    SENT,
+
+    /** All targets are full. */
+    FULL,
+
+    /** The request cannot be sent and has ended. */
+    ENDED,
+}
+
+/** Why a request is not admitted. */
+enum class RejectionReason(val text: String) {
+    /** The wait would be longer than the request may wait. */
+    LONG_WAIT("all targets are full, and too many requests wait"),
+
+    /** The request has waited as long as it may. */
+    WAITED("all targets are full, and no capacity became free in time"),
+
+    /** The caller has repeated its request sooner than any gateway can have told it to. */
+    PREMATURE("all targets are full, and the request was repeated too soon"),
+}
+
+/**
+ * The rejection of a request that was not sent.
+ *
+ * @property position number of requests ahead of it.
+ * @property expectedWait the wait that was expected for it.
+ * @property retryAfter time after which the caller should come back.
+ */
+data class AdmissionRejection(
+    val reason: RejectionReason,
+    val position: Int,
+    val expectedWait: Duration,
+    val retryAfter: Duration,
+)
+
+/** A request that an [AdmissionLane] sends, lets wait or rejects. */
+interface PendingRequest {
+    /** What the admission depends on. */
+    val admission: AdmissionRequest
+
+    /** Sends the request if a target has capacity. */
+    fun trySend(): SendResult
+
+    /** Called when the request has to wait; [position] requests are ahead of it. */
+    fun onQueued(position: Int, expectedWait: Duration)
+
+    /** Called when the request has been sent after it had waited. */
+    fun onDequeued()
+
+    /** Rejects the request. */
+    fun reject(rejection: AdmissionRejection)
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/boragering/fleet/CapacityDemand.kt
@@ -0,0 +1,80 @@
+package boragering.fleet
+
+import kotlin.math.exp
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * What a gateway knows of the demand for the capacity of one service and model, and of its use. Times are of the
+ * monotonic clock. Not thread-safe.
+ */
+class CapacityDemand(random: Random) {
+    private val returnTimes = ReturnTimes(random)
+    private val sends = DecayingRate()
+
+    /** What each organisation has had. */
+    val shares = OrganisationShares()
+
+    /** The occupancy up to which requests fill targets. */
+    val headroom = UrgencyHeadroom()
+
+    /** The occupancy up to which a request with [admission] fills targets at [now]. */
+    fun occupancyLimit(admission: AdmissionRequest, now: Duration): Double =
+        if (admission.caller is CallerAttempt.Premature) PREMATURE_LIMIT else headroom.limit(rank(admission, now), now)
+
+    /** Records the [result] of an attempt to send a request with [admission] at [now]. */
+    internal fun recordResult(result: SendResult, admission: AdmissionRequest, now: Duration) = when (result) {
+        SendResult.SENT -> {
+            sends.record(now)
+            shares.recordServed(admission.organisation, now)
+        }
+        SendResult.FULL -> recordShortage(admission, now)
+        SendResult.ENDED -> Unit
+    }
+
+    /** Records that a request with [admission] got no capacity at [now]. */
+    internal fun recordShortage(admission: AdmissionRequest, now: Duration) {
+        if (admission.caller !is CallerAttempt.Premature) headroom.recordShortage(rank(admission, now), now)
+    }
+
+    /** Time that a request waits with [position] others ahead of it. */
+    internal fun expectedWait(position: Int, now: Duration): Duration =
+        1.seconds * (position / sends.perSecond(now).coerceAtLeast(LOWEST_RATE))
+
+    /** The rejection at [now] of a request with [admission] and [position] others ahead of it. */
+    internal fun rejection(reason: RejectionReason, admission: AdmissionRequest, position: Int, now: Duration) =
+        expectedWait(position, now).let { expected ->
+            val retryAfter = returnTimes.next(admission, expected, sends.perSecond(now), now)
+            AdmissionRejection(reason, position, expected, retryAfter)
+        }
+
+    private fun rank(admission: AdmissionRequest, now: Duration): Int =
+        admission.urgency * RANKS_PER_URGENCY + if (shares.exceeded(admission.organisation, now)) 1 else 0
+
+    /** Events per second, with an exponential decay. */
+    private class DecayingRate {
+        private var count = 0.0
+        private var at = Duration.ZERO
+
+        fun record(now: Duration) {
+            count = count * kept(now) + 1
+            at = now
+        }
+
+        fun perSecond(now: Duration): Double = count * kept(now) / (RATE_MEMORY / 1.seconds)
+
+        private fun kept(now: Duration): Double = exp(-((now - at) / RATE_MEMORY).coerceAtLeast(0.0))
+    }
+
+    private companion object {
+        const val RANKS_PER_URGENCY = 2
+
+        /** A caller that repeats at once gets only capacity that is clearly free, also where no shortage is known. */
+        const val PREMATURE_LIMIT = 0.5
+        val RATE_MEMORY = 1.seconds
+
+        /** Rate by which waits are estimated at a gateway that has recently found no free capacity. */
+        const val LOWEST_RATE = 0.1
+    }
+}
--- a/fleet/src/main/kotlin/boragering/fleet/RouteTable.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/RouteTable.kt
@@ -11,6 +11,11 @@
         configuration.organisations.orEmpty()
             .flatMap { organisation -> organisation.keys.map { it to organisation } }
             .toMap()
+    private val prioritisedServices: Set<ServiceName> =
+        configuration.routes.flatMap { route -> route.split.map { it.service to route.priority } }
+            .groupBy({ it.first }, { it.second })
+            .filterValues { it.distinct().size > 1 }
+            .keys
 
     /** The version of the configuration. */
     val version: Long get() = configuration.version
@@ -24,6 +29,9 @@
     /** Returns the profile of the service; `null` if no service of that name is configured. */
     fun service(name: ServiceName): ServiceProfile? = configuration.services[name]
 
+    /** Whether routes of different priority lead to [service], so that urgency and shares decide about its capacity. */
+    fun prioritises(service: ServiceName): Boolean = service in prioritisedServices
+
     /**
      * Returns the route of [host] with the longest prefix that matches [path]; `null` if none matches. [host] is a host
      * name with or without a port.
--- a/fleet/src/main/kotlin/boragering/fleet/TargetChoice.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/TargetChoice.kt
@@ -23,12 +23,14 @@
  * @property now time of the choice, by the monotonic clock.
  * @property targetLatency time within which the request's first event or answer counts as on time.
  * @property repeated whether another target has failed the request.
+ * @property occupancyLimit requests per slot at which a group gets no more requests like this one, unless repeated.
  */
 data class ChoiceContext(
     val gateways: Int,
     val now: Duration,
     val targetLatency: Duration,
     val repeated: Boolean = false,
+    val occupancyLimit: Double = TargetChoice.MAX_OCCUPANCY,
 )
 
 /**
@@ -46,7 +48,7 @@
         val healthy = open.filter { !it.load.suspected(context.now) }.ifEmpty { open }
         val estimate = LoadEstimate(healthy, context.gateways, context.now)
         val loads = healthy.map { CandidateLoad(it, estimate.occupancy(it) + waitingLoad(it, context)) }
-        val limit = if (context.repeated) MAX_OCCUPANCY_FOR_REPEATED else MAX_OCCUPANCY
+        val limit = if (context.repeated) MAX_OCCUPANCY_FOR_REPEATED else context.occupancyLimit
         val chosen = loads.filter { it.candidate.target.group == null || it.occupancy < limit }.minByOrNull(::cost)
         return when {
             chosen != null -> Choice.Chosen(chosen.candidate, chosen.occupancy)
@@ -69,18 +71,19 @@
         return load.occupancy + distance + random.nextDouble() * TIE_BREAK
     }
 
-    private companion object {
+    /** Limits and weights of the choice. */
+    companion object {
         /** Requests per slot at which a group gets no more new requests. */
         const val MAX_OCCUPANCY = 1.1
 
         /** Requests per slot at which a group gets no more requests that another target has failed. */
-        const val MAX_OCCUPANCY_FOR_REPEATED = 2.0
+        private const val MAX_OCCUPANCY_FOR_REPEATED = 2.0
 
         /** Occupancy that counts for a request that has been waiting for its whole target latency. */
-        const val OCCUPANCY_PER_TARGET_LATENCY = 0.5
+        private const val OCCUPANCY_PER_TARGET_LATENCY = 0.5
 
         /** Occupancy added to targets in other availability zones. */
-        const val CROSS_ZONE_COST = 0.05
-        const val TIE_BREAK = 0.02
+        private const val CROSS_ZONE_COST = 0.05
+        private const val TIE_BREAK = 0.02
     }
 }
--- a/gateway/src/main/kotlin/boragering/gateway/AttemptDispatcher.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/AttemptDispatcher.kt
@@ -4,6 +4,7 @@
 import boragering.fleet.Choice
 import boragering.fleet.ChoiceContext
 import boragering.fleet.InstanceStart
+import boragering.fleet.TargetChoice
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -35,13 +36,12 @@
     /** Whether a target may have run the request. */
     val mayHaveRun: Boolean get() = earlierMayHaveRun || callHandle?.sent == true
 
-    /** Sends the request, to resume after [lastEventId]. Returns the reason if no target is available. */
-    fun send(lastEventId: Long?): String? =
-        when (val choice = chooseTarget()) {
-            is Choice.Chosen -> null.also { send(choice, lastEventId) }
-            Choice.Full -> "all targets are full"
-            Choice.None -> "no target can serve it"
-        }
+    /**
+     * Sends the request, to resume after [lastEventId], if a target is available whose occupancy is below
+     * [occupancyLimit].
+     */
+    fun send(lastEventId: Long?, occupancyLimit: Double = TargetChoice.MAX_OCCUPANCY): Choice =
+        chooseTarget(occupancyLimit).also { if (it is Choice.Chosen) send(it, lastEventId) }
 
     /** Time until a target may get the request, if all targets have asked for none until then; `null` if not. */
     val waitTime: Duration?
@@ -69,6 +69,7 @@
         attempt = null
         callHandle = null
         this.earlierMayHaveRun = this.earlierMayHaveRun || mayHaveRun
+        state.admission.onCapacityChange()
     }
 
     /** Counts the current attempt as a failed connect or as the loss of a connection, depending on [failure]. */
@@ -95,7 +96,7 @@
         callHandle?.setReading(enabled)
     }
 
-    private fun chooseTarget(): Choice =
+    private fun chooseTarget(occupancyLimit: Double = TargetChoice.MAX_OCCUPANCY): Choice =
         state.targetChoice.choose(
             candidates(),
             ChoiceContext(
@@ -103,6 +104,7 @@
                 now = state.now(),
                 targetLatency = routed.route.targetLatency,
                 repeated = sendCount > 0 || failedConnects > 0,
+                occupancyLimit = occupancyLimit,
             ),
         )
 
--- a/gateway/src/main/kotlin/boragering/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Exchange.kt
@@ -1,5 +1,7 @@
 package boragering.gateway
 
+import boragering.fleet.AdmissionRejection
+import boragering.fleet.Choice
 import kotlin.time.Duration
 
 /**
@@ -14,6 +16,9 @@
     private val log = ExchangeLog(state, routed)
     private val dispatcher = AttemptDispatcher(state, routed, log, Listener())
     private val progress = ResponseProgress(answer, state.ports.random, routed.lastEventId)
+    private val admission = state.admission.lane(routed)?.let { lane ->
+        RequestAdmission(state, routed, lane, { dispatcher.send(progress.lastEventId, it) }, AdmissionEnd())
+    }
     private var finished = false
 
     /** Sends the request to its first target. */
@@ -22,8 +27,8 @@
         state.retryAllowance(routed.service.name).recordRequest(state.now())
         val waitTime = state.promptGuard.waitTime(routed.sharedParts)
         when {
-            waitTime != null -> finish(progress.refuseQuarantined(waitTime))
-            state.now() < routed.deadline -> send()
+            waitTime != null -> finish(progress.refuseUnsent(QUARANTINED, waitTime))
+            state.now() < routed.deadline -> admission?.begin() ?: send()
             else -> finish(progress.timeOut(dispatcher.mayHaveRun))
         }
     }
@@ -85,7 +90,11 @@
         if (retrying) send() else fail(reason)
     }
 
-    private fun send() = dispatcher.send(progress.lastEventId)?.let(::fail)
+    private fun send() = when (dispatcher.send(progress.lastEventId)) {
+        is Choice.Chosen -> Unit
+        Choice.Full -> fail("all targets are full")
+        Choice.None -> fail(NO_TARGET)
+    }
 
     private fun fail(reason: String) =
         finish(progress.failRequest(reason, dispatcher.mayHaveRun, dispatcher.waitTime))
@@ -94,10 +103,20 @@
         finished = true
         log.exchangeEnded(result, dispatcher.sendCount)
         state.exchanges.remove(this)
+        admission?.withdraw()
         progress.dropFailure()
         if (result.outcome == ANSWERED) dispatcher.endAttempt(mayHaveRun = true)
     }
 
+    private inner class AdmissionEnd : RequestAdmission.Listener {
+        override fun onRejected(rejection: AdmissionRejection) {
+            val retryAfter = maxOf(rejection.retryAfter, dispatcher.waitTime ?: Duration.ZERO)
+            finish(progress.refuseUnsent(rejection.reason.text, retryAfter))
+        }
+
+        override fun onNoTarget() = fail(NO_TARGET)
+    }
+
     /** Handles the events of the current attempt and ignores those of earlier ones. */
     private inner class Listener : AttemptListener {
         override fun onEvent(attempt: TargetAttempt, head: ResponseHead, bytes: ByteArray, id: Long?) {
@@ -166,6 +185,8 @@
     }
 
     private companion object {
+        const val QUARANTINED = "a part of the prompt crashes targets"
+        const val NO_TARGET = "no target can serve it"
         const val ANSWERED = "answered"
         const val CALLER_DISCONNECTED_STATUS = 499
         const val MISDIRECTED_REQUEST = 421
--- a/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
@@ -49,6 +49,12 @@
     /** Receives other gateways' reports of prompt parts that crash targets. */
     val promptReports: PromptReports get() = state.promptGuard
 
+    /** Number of requests that wait for capacity. */
+    val admissionWaiting: Int get() = state.admission.waiting
+
+    /** Exchanges with other gateways what is known of the demand for capacity that is short. */
+    val admissionReports: AdmissionReports get() = state.admission
+
     /** Starts to listen at [address]. */
     fun listen(address: Address) {
         scheduleTimeoutCheck()
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayMetrics.kt
@@ -22,6 +22,20 @@
     private val quarantines =
         registry.counter { name("boragering_gateway_quarantines").help("prompt parts kept from targets") }
 
+    private val admissionWaits =
+        registry.durationHistogram("boragering_admission_wait_seconds", "time that requests waited for capacity")
+
+    private val admissionRejections =
+        registry.counter {
+            name("boragering_admission_rejections").help("requests without capacity").labelNames("route", "reason")
+        }
+
+    internal fun recordAdmissionWait(route: String, wait: Duration) =
+        admissionWaits.labelValues(route).observe(wait.toDouble(DurationUnit.SECONDS))
+
+    internal fun recordAdmissionRejection(route: String, reason: String) =
+        admissionRejections.labelValues(route, reason).inc()
+
     internal fun recordTargetCrash() = crashes.inc()
 
     internal fun recordQuarantine() = quarantines.inc()
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
@@ -84,6 +84,7 @@
     val bodyMemory = MemoryBudget(settings.bodyMemory, MemoryShortageLog(ports))
     val suspicions = TargetSuspicions(this)
     val statements = TargetStatements(this)
+    val admission = AdmissionControl(this)
 
     /** The routes of the current configuration; `null` before the first one is known. */
     var routes: RouteTable? = null
@@ -144,6 +145,7 @@
         val known = instanceList ?: return
         targets = targetBook.update(known, profiles)
         usages.retain(targets)
+        admission.onCapacityChange()
         if (routes != null && starting) endStartup()
     }
 
--- a/gateway/src/main/kotlin/boragering/gateway/ResponseProgress.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ResponseProgress.kt
@@ -73,9 +73,9 @@
         }
     }
 
-    /** Ends the response before the request was sent, because its prompt is in quarantine for [waitTime]. */
-    fun refuseQuarantined(waitTime: Duration): ExchangeResult =
-        refuse(Refusal.Unavailable("a part of the prompt crashes targets", waitTime))
+    /** Ends the response before the request was sent, because it will not be sent before [retryAfter]. */
+    fun refuseUnsent(reason: String, retryAfter: Duration): ExchangeResult =
+        refuse(Refusal.Unavailable(reason, retryAfter))
 
     /** Ends the response because the deadline of the request has passed. */
     fun timeOut(mayHaveRun: Boolean): ExchangeResult = when {
--- a/gateway/src/main/kotlin/boragering/gateway/TargetStatements.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetStatements.kt
@@ -11,6 +11,7 @@
         val headers = head.headers
         val names = state.headerNames
         attempt.usage.updateLoad(headers.get(names.serverLoad), attempt.lastProgressAt)
+        state.admission.onCapacityChange()
         recordRate(attempt, RateStatement.of(headers.get(names.rateLimit)))
         if (headers.get(names.leaving)?.trim() == LEAVES) state.usages.recordLeaving(attempt.target)
         if (head.status == UNAVAILABLE) headers.get(HttpHeaderNames.RETRY_AFTER)?.let { recordBackoff(attempt, it) }
