--- a/fleet/src/main/kotlin/boragering/fleet/TargetChoice.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/TargetChoice.kt
@@ -25,6 +25,7 @@
  * @property repeated whether another target has failed the request.
  * @property targetGap longest pause between events within which a stream counts as on time; `null` for any pause.
  * @property zones what decides whether the request leaves the availability zone; `null` for a fixed cost of leaving.
+ * @property occupancyLimit requests per slot at which a group gets no more requests like this one, unless repeated.
  */
 data class ChoiceContext(
     val gateways: Int,
@@ -33,6 +34,7 @@
     val repeated: Boolean = false,
     val targetGap: Duration? = null,
     val zones: ZoneTerms? = null,
+    val occupancyLimit: Double = TargetChoice.MAX_OCCUPANCY,
 )
 
 /**
@@ -56,7 +58,7 @@
             val expected = occupancy(it) + waitingLoad(it, context)
             CandidateLoad(it, expected, paces.factor(it), paces.tooLate(it, context.targetGap))
         }
-        val limit = if (context.repeated) MAX_OCCUPANCY_FOR_REPEATED else MAX_OCCUPANCY
+        val limit = if (context.repeated) MAX_OCCUPANCY_FOR_REPEATED else context.occupancyLimit
         val usable = loads.filter { it.candidate.target.group == null || it.occupancy < limit }
         val narrowed = context.zones?.let { zoneChoice.narrow(loads, usable, context, it) } ?: usable
         val chosen = narrowed.minByOrNull(::cost)
@@ -84,18 +86,19 @@
         return load.comparedOccupancy + distance + random.nextDouble() * TIE_BREAK
     }
 
-    private companion object {
+    /** Limits and weights of the choice. */
+    companion object {
         /** Requests per slot at which a group gets no more new requests. */
         const val MAX_OCCUPANCY = 1.1
 
         /** Requests per slot at which a group gets no more requests that another target has failed. */
-        const val MAX_OCCUPANCY_FOR_REPEATED = 2.0
+        private const val MAX_OCCUPANCY_FOR_REPEATED = 2.0
 
         /** Occupancy that counts for a request that has been waiting for its whole target latency. */
-        const val OCCUPANCY_PER_TARGET_LATENCY = 0.5
+        private const val OCCUPANCY_PER_TARGET_LATENCY = 0.5
 
         /** Occupancy added to targets in other availability zones. */
-        const val CROSS_ZONE_COST = 0.05
-        const val TIE_BREAK = 0.02
+        private const val CROSS_ZONE_COST = 0.05
+        private const val TIE_BREAK = 0.02
     }
 }
--- a/gateway/src/main/kotlin/boragering/gateway/AttemptDispatcher.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/AttemptDispatcher.kt
@@ -4,6 +4,7 @@
 import boragering.fleet.Choice
 import boragering.fleet.ChoiceContext
 import boragering.fleet.InstanceStart
+import boragering.fleet.TargetChoice
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -35,13 +36,16 @@
     /** Whether a target may have run the request. */
     val mayHaveRun: Boolean get() = earlierMayHaveRun || callHandle?.sent == true
 
-    /** Sends the request, to resume after [lastEventId]. Returns the reason if no target is available. */
-    fun send(lastEventId: Long?): String? =
-        when (val choice = chooseTarget()) {
-            is Choice.Chosen -> null.also { send(choice, lastEventId) }
-            Choice.Full -> "all targets are full"
-            Choice.None -> if (allEvacuated) "all targets are in evacuated zones" else "no target can serve it"
-        }
+    /**
+     * Sends the request, to resume after [lastEventId], if a target is available whose occupancy is below
+     * [occupancyLimit].
+     */
+    fun send(lastEventId: Long?, occupancyLimit: Double = TargetChoice.MAX_OCCUPANCY): Choice =
+        chooseTarget(occupancyLimit).also { if (it is Choice.Chosen) send(it, lastEventId) }
+
+    /** Why there is no target for the request. */
+    val noTargetReason: String
+        get() = if (allEvacuated) "all targets are in evacuated zones" else "no target can serve it"
 
     private val allEvacuated: Boolean
         get() = state.targets.targets(routed.service.name, routed.model).isEmpty() &&
@@ -73,6 +77,7 @@
         attempt = null
         callHandle = null
         this.earlierMayHaveRun = this.earlierMayHaveRun || mayHaveRun
+        state.admission.onCapacityChange()
     }
 
     /** Counts the current attempt as a failed connect or as the loss of a connection, depending on [failure]. */
@@ -100,7 +105,7 @@
         callHandle?.setReading(enabled)
     }
 
-    private fun chooseTarget(): Choice =
+    private fun chooseTarget(occupancyLimit: Double = TargetChoice.MAX_OCCUPANCY): Choice =
         state.targetChoice.choose(
             candidates(),
             ChoiceContext(
@@ -110,6 +115,7 @@
                 repeated = sendCount > 0 || failedConnects > 0,
                 targetGap = routed.route.targetGap,
                 zones = state.spillovers.terms(routed),
+                occupancyLimit = occupancyLimit,
             ),
         )
 
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
@@ -92,6 +92,7 @@
     val suspicions = TargetSuspicions(this)
     val statements = TargetStatements(this)
     val demand = DemandObserver(this)
+    val admission = AdmissionControl(this)
 
     /** The routes of the current configuration; `null` before the first one is known. */
     var routes: RouteTable? = null
@@ -166,6 +167,7 @@
         usages.updateInstances(known)
         usages.retain(targets)
         if (routes != null) evacuationLog.report(evacuations, targets, now())
+        admission.onCapacityChange()
         if (routes != null && starting) endStartup()
     }
 
