--- a/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
@@ -51,7 +51,7 @@
     val highestBodyBytes: Long get() = state.bodyMemory.highestUse
 
     /** Number of instances that are cold or were so lately. */
-    val coldInstances: Int get() = state.usages.coldInstances
+    val coldInstances: Int get() = state.coldTargets.instances
 
     /** Number of targets that may get requests. */
     val targets: Int get() = state.targets.all.size
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
@@ -81,7 +81,8 @@
 
     val headerNames: HeaderNames get() = settings.headerNames
     val log: DecisionLog get() = ports.log
-    val usages = TargetUsages(pools, responseIdentity(headerNames), ports, settings.coldAllowance)
+    val coldTargets = ColdTargets(settings, ports)
+    val usages = TargetUsages(pools, responseIdentity(headerNames), ports, coldTargets)
     val targetChoice = TargetChoice(settings.availabilityZone, ports.random)
     val spillovers = ZoneSpillovers(settings.availabilityZone, ports)
     val paceMonitor = PaceMonitor(this)
@@ -145,7 +146,7 @@
     fun configure(configuration: Configuration) {
         routes = RouteTable(configuration)
         profiles = configuration.services
-        usages.configure(configuration.services.values)
+        coldTargets.configure(configuration.services.values)
         refresh()
     }
 
@@ -157,14 +158,14 @@
     fun updateEvacuations(known: ZoneEvacuations) {
         val reopened = evacuations.zones - known.zones
         evacuations = known
-        reopened.forEach(usages::onZoneReopened)
+        reopened.forEach(coldTargets::onZoneReopened)
         refresh()
     }
 
     private fun refresh() {
         val known = instanceList ?: return
         targets = targetBook.update(known, profiles, evacuations.zones)
-        usages.updateInstances(known)
+        coldTargets.updateInstances(known)
         usages.retain(targets)
         if (routes != null) evacuationLog.report(evacuations, targets, now())
         admission.onCapacityChange()
--- a/gateway/src/main/kotlin/boragering/gateway/TargetUsages.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetUsages.kt
@@ -1,11 +1,7 @@
 package boragering.gateway
 
-import boragering.core.AvailabilityZone
 import boragering.fleet.Candidate
-import boragering.fleet.ColdAllowance
-import boragering.fleet.ColdInstances
 import boragering.fleet.InstanceBackoffs
-import boragering.fleet.InstanceList
 import boragering.fleet.InstanceStart
 import boragering.fleet.LeavingInstances
 import boragering.fleet.LoadReport
@@ -25,15 +21,11 @@
     private val pools: ConnectionPoolContext,
     private val identity: ResponseIdentity,
     private val ports: GatewayPorts,
-    coldAllowance: ColdAllowance,
+    private val cold: ColdTargets,
 ) {
     private val targets = HashMap<InstanceStart, TargetUsage>()
     private val leaving = LeavingInstances()
     private val backoffs = InstanceBackoffs()
-    private val cold = ColdInstances(coldAllowance)
-
-    /** Number of instances that are cold or were so lately. */
-    val coldInstances: Int get() = cold.size
 
     /** The connections and the load of [target]. */
     fun of(target: Target): TargetUsage = targets.getOrPut(target.head) {
@@ -63,7 +55,7 @@
         val gateways = ports.gatewayCount()
         return leaving.usable(backoffs.usable(targets, now), now).map { target ->
             val usage = of(target)
-            val free = usage.rate.mayTake(now, cold.limit(target, now))
+            val free = usage.rate.mayTake(now, cold.limit(target))
             val load = if (free) usage.load else usage.load.copy(rateLimited = true)
             Candidate(target, load, usage.pace.estimate(now, gateways))
         }
@@ -79,20 +71,6 @@
         }
     }
 
-    /** Applies the cold times of the services in [profiles]. */
-    fun configure(profiles: Collection<ServiceProfile>) = cold.configure(profiles)
-
-    /** Learns which instances of [list] are cold. */
-    fun updateInstances(list: InstanceList) {
-        val begun = cold.update(list, pools.loop.now())
-        if (begun.isNotEmpty()) {
-            ports.log.event("targets-cold", "instances" to begun.take(MAX_LOGGED_INSTANCES), "cold" to cold.size)
-        }
-    }
-
-    /** Counts the instances of [zone], which was evacuated, as cold. */
-    fun onZoneReopened(zone: AvailabilityZone) = cold.onZoneReopened(zone, pools.loop.now())
-
     /** Ends the rate limit of the target with the head instance [head], if there is one. */
     fun endRateLimit(head: InstanceStart) {
         targets[head]?.rate?.end(pools.loop.now())
@@ -108,10 +86,6 @@
             (start !in kept && usage.load.ownInFlight == 0).also { if (it) usage.pool.close() }
         }
     }
-
-    private companion object {
-        const val MAX_LOGGED_INSTANCES = 8
-    }
 }
 
 /**
