Test that the planner does not probe evacuated zones

Cause: a suspicion makes the planner ask the members of the group for reports; nothing showed that members in evacuated zones are left out. Change: a case in PlannerTermTest, whose set-up becomes a function.

--- a/gateway/src/test/kotlin/boragering/gateway/PlannerTermTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/PlannerTermTest.kt
@@ -23,6 +23,7 @@
 import boragering.fleet.ServiceName
 import boragering.fleet.ServiceProfile
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
@@ -47,11 +48,10 @@
     }
 }
 
-private object FixedView : PlannerView {
+private class FixedView(override val evacuatedZones: Set<AvailabilityZone>) : PlannerView {
     override val configuration: Configuration? = null
     override val list: InstanceList? = null
     override val planner: String? = null
-    override val evacuatedZones = emptySet<AvailabilityZone>()
     override val aloneInZone = false
     override val storeIsDown = false
     override val storeEra = 0L
@@ -92,18 +92,27 @@
     val members = listOf(member(0, MemberState.OPEN), member(1, MemberState.READY))
     val list = InstanceList(1, persistentMapOf<InstanceId, Instance>().putAll(members.associateBy { it.id }))
 
+    /** The instances that are asked for a report after a suspicion of the group, while zones are [evacuated]. */
+    suspend fun askedAfterSuspicion(evacuated: Set<AvailabilityZone>): List<InstanceId> {
+        val instances = SilentInstances()
+        GatewayLoop(SystemClock).use { loop ->
+            val log = DecisionLog(SystemClock)
+            val ports = PlannerPorts(FakeLockStore(), instances, loop, SystemClock, log, Random(1))
+            val term = PlannerTerm(fence = 7, ports, FixedView(evacuated)) { true }
+            withContext(loop.dispatcher) {
+                coroutineScope { term.step(configuration, list, setOf(members.first().start), this) }
+            }
+        }
+        return instances.asked.distinct()
+    }
+
     describe("a suspicion that reaches a planner in its first step") {
         it("causes a probe of the members (guards against a lost member that a new planner does not notice)") {
-            val instances = SilentInstances()
-            GatewayLoop(SystemClock).use { loop ->
-                val log = DecisionLog(SystemClock)
-                val ports = PlannerPorts(FakeLockStore(), instances, loop, SystemClock, log, Random(1))
-                val term = PlannerTerm(fence = 7, ports, FixedView) { true }
-                withContext(loop.dispatcher) {
-                    coroutineScope { term.step(configuration, list, setOf(members.first().start), this) }
-                }
-            }
-            instances.asked.distinct() shouldContainExactlyInAnyOrder members.map { it.id }
+            askedAfterSuspicion(emptySet()) shouldContainExactlyInAnyOrder members.map { it.id }
+        }
+
+        it("causes no probe in an evacuated zone (guards against calls to instances under repair)") {
+            askedAfterSuspicion(setOf(members.first().availabilityZone)).shouldBeEmpty()
         }
     }
 })
