Hold what waits for slow callers within the memory of bodies

A stream whose caller read slowly was not read from its target beyond 16 KB, so that the target could abort it; the pause also counted as silence of the target. Now what exceeds 16 KB waits in a backlog whose pages count towards the memory budget, and the target is read on. All backlogs together may use a quarter of the budget, beside what requests may use, so that no request of another caller is refused for them. Only when this part is used up is the target not read; the pause then counts neither against the request nor against the target.

--- a/gateway/src/main/kotlin/boragering/gateway/AttemptActivity.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/AttemptActivity.kt
@@ -14,6 +14,20 @@
     var streaming = false
         private set
 
+    /** Whether the response is not read because there is no memory for it. */
+    var paused = false
+        private set
+
+    /** Records whether the response is read. While it is not, its silence says nothing about the target. */
+    fun setPaused(pause: Boolean) {
+        if (pause == paused) return
+        paused = pause
+        usage.pausedResponses += if (pause) 1 else -1
+        if (pause) return
+        lastProgressAt = now()
+        usage.resumedAt = lastProgressAt
+    }
+
     /** Records that the response progressed. */
     fun recordProgress() {
         lastProgressAt = now()
--- a/gateway/src/main/kotlin/boragering/gateway/AttemptDispatcher.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/AttemptDispatcher.kt
@@ -63,6 +63,7 @@
     /** Ends the current attempt; [mayHaveRun] tells whether its target may have run the request. */
     fun endAttempt(mayHaveRun: Boolean) {
         attempt?.let {
+            it.activity.setPaused(false)
             it.usage.onRequestEnd(it.startedAt, it.streaming)
             it.releaseMemory()
         }
@@ -92,6 +93,7 @@
 
     /** Pauses or resumes reading of the response. */
     fun setReading(enabled: Boolean) {
+        attempt?.activity?.setPaused(!enabled)
         callHandle?.setReading(enabled)
     }
 
--- a/gateway/src/main/kotlin/boragering/gateway/CallerConnection.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/CallerConnection.kt
@@ -81,8 +81,9 @@
         onClosed(this)
     }
 
-    override fun channelWritabilityChanged(context: ChannelHandlerContext) =
-        pipeline.onWritabilityChanged(channel.isWritable)
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        if (channel.isWritable) pipeline.onWritable()
+    }
 
     @Deprecated("Deprecated in Netty, which still calls it")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
@@ -98,7 +99,8 @@
         // What the caller still sends has to be read, or it would not see the response.
         PauseReason.entries.forEach(reading::resume)
         if (pipeline.idle) {
-            pipeline.refuse(refused, refusal, ResponseWriter(channel, refused, { true }) { close() })
+            val backlog = StreamBacklog(state.bodyMemory) { }
+            pipeline.refuse(refused, refusal, ResponseWriter(channel, refused, backlog, { true }) { close() })
         } else {
             // The caller would take an error response for the response that is in progress.
             channel.close()
--- a/gateway/src/main/kotlin/boragering/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Exchange.kt
@@ -38,7 +38,7 @@
                 dispatcher.cancel()
             }
             // A target whose response is not read waits for this gateway.
-            current != null && current.accepting -> checkSilence(current, now)
+            current != null && current.accepting && !current.activity.paused -> checkSilence(current, now)
         }
     }
 
@@ -56,8 +56,11 @@
         dispatcher.cancel()
     }
 
-    /** Resumes or pauses reading from the target, depending on whether the caller's connection accepts more data. */
-    fun onCallerWritabilityChanged(writable: Boolean) = dispatcher.setReading(writable)
+    /** Sends events that have waited for the caller or for memory, and reads more of the stream if there is memory. */
+    fun onCallerWritable() {
+        answer.events.onWritable()
+        if (answer.events.accepting) dispatcher.setReading(true)
+    }
 
     /** Sends the request to another target, if possible, when the current one has been silent for too long. */
     private fun checkSilence(current: TargetAttempt, now: Duration) {
@@ -96,6 +99,7 @@
         log.exchangeEnded(result, dispatcher.sendCount)
         state.exchanges.remove(this)
         progress.dropFailure()
+        answer.events.discard()
         if (result.outcome == ANSWERED) dispatcher.endAttempt(mayHaveRun = true)
     }
 
@@ -104,7 +108,9 @@
         override fun onEvent(attempt: TargetAttempt, head: ResponseHead, bytes: ByteArray, id: Long?) {
             if (isStale(attempt)) return
             if (progress.forwardEvent(head, bytes, id)) log.responseBegan()
-            if (!answer.events.writable) dispatcher.setReading(false)
+            if (answer.events.accepting || attempt.activity.paused) return
+            dispatcher.setReading(false)
+            log.streamPaused(attempt)
         }
 
         override fun onReadComplete(attempt: TargetAttempt) {
--- a/gateway/src/main/kotlin/boragering/gateway/ExchangeLog.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ExchangeLog.kt
@@ -39,6 +39,18 @@
         }
     }
 
+    fun streamPaused(attempt: TargetAttempt) {
+        state.ports.metrics.recordPausedStream()
+        state.log.requestEvent("stream-paused", routed.id, LogPriority.NOTABLE) {
+            mapOf(
+                "route" to route,
+                "target" to attempt.target.head,
+                "streamBytes" to state.bodyMemory.usedByStreams,
+                "bodyBytes" to state.bodyMemory.used,
+            )
+        }
+    }
+
     fun responseBegan() = state.ports.metrics.recordFirstByte(route, state.now() - routed.arrivedAt)
 
     fun exchangeEnded(result: ExchangeResult, sendCount: Int) {
--- a/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Gateway.kt
@@ -43,6 +43,9 @@
     /** Highest value of [bodyBytes] so far. */
     val highestBodyBytes: Long get() = state.bodyMemory.highestUse
 
+    /** Memory of streams whose callers read slowly, in bytes; part of [bodyBytes]. */
+    val streamBytes: Long get() = state.bodyMemory.usedByStreams
+
     /** Number of targets that may get requests. */
     val targets: Int get() = state.targets.all.size
 
@@ -158,7 +161,7 @@
         const val MIN_RECEIVE_BYTES = 256
         const val INITIAL_RECEIVE_BYTES = 2_048
 
-        /** Bytes of a stream that wait for a slow caller: its target is not read above the second, until the first. */
+        /** Bytes that wait in a connection: above the second, streams wait in their backlogs until the first. */
         val UNSENT_BYTES = WriteBufferWaterMark(8 shl 10, 16 shl 10)
     }
 }
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayMetrics.kt
@@ -22,6 +22,11 @@
     private val quarantines =
         registry.counter { name("boragering_gateway_quarantines").help("prompt parts kept from targets") }
 
+    private val pausedStreams =
+        registry.counter { name("boragering_gateway_paused_streams").help("pauses of streams for want of memory") }
+
+    internal fun recordPausedStream() = pausedStreams.inc()
+
     internal fun recordTargetCrash() = crashes.inc()
 
     internal fun recordQuarantine() = quarantines.inc()
--- a/gateway/src/main/kotlin/boragering/gateway/MemoryBudget.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/MemoryBudget.kt
@@ -7,6 +7,9 @@
 
     /** The response of a target, which has done its work. Its reading waits while the memory is short. */
     RESPONSE,
+
+    /** Events of streams whose callers read slowly. The reading of their targets waits while the memory is short. */
+    STREAM,
 }
 
 /** Whether memory was granted. */
@@ -18,7 +21,8 @@
  *
  * Requests may use a part of the [capacity], so that there is room for their responses. Large requests may use less
  * than all requests, and small responses never wait, so that small messages pass large ones. What does not fit waits in
- * the order of arrival. A request is refused if as much as fits waits already. Used on the event loop only.
+ * the order of arrival. A request is refused if as much as fits waits already. Streams have a part of their own, so
+ * that callers who read slowly take no memory from the requests of others. Used on the event loop only.
  */
 internal class MemoryBudget(val capacity: Long, private val listener: Listener = Listener { }) {
     /** Receives the changes of [MemoryBudget.short]. */
@@ -35,8 +39,11 @@
     var highestUse = 0L
         private set
 
-    /** Whether a message waits for memory. */
-    val short: Boolean get() = waiting.any { it.isNotEmpty() }
+    /** Bytes that are granted to streams. */
+    val usedByStreams: Long get() = usedBy[MemoryUse.STREAM.ordinal]
+
+    /** Whether a message waits for memory. A stream that waits is no reason to hurry the callers that send bodies. */
+    val short: Boolean get() = waiting.indices.any { it != MemoryClass.STREAM.ordinal && waiting[it].isNotEmpty() }
 
     private val waiting = MemoryClass.entries.map { ArrayDeque<MemoryShare>() }
     private val usedBy = LongArray(MemoryUse.entries.size)
@@ -65,7 +72,7 @@
     private fun wait(share: MemoryShare, queue: ArrayDeque<MemoryShare>) {
         val wasShort = short
         queue += share
-        if (!wasShort) listener.onShortage(short = true)
+        if (!wasShort && short) listener.onShortage(short = true)
     }
 
     private fun grantWaiting(queue: ArrayDeque<MemoryShare>) {
@@ -79,9 +86,15 @@
     /** A message that is larger than its limit is taken while it is the only one of its use. */
     private fun fits(share: MemoryShare): Boolean = when (share.memoryClass) {
         MemoryClass.SMALL_RESPONSE -> true
-        else -> used + share.missing <= limit(share.memoryClass) || usedBy[share.use.ordinal] == share.bytes
+        MemoryClass.STREAM ->
+            usedByStreams + share.missing <= limit(MemoryClass.STREAM) && used + share.missing <= capacity
+        MemoryClass.SMALL_REQUEST, MemoryClass.REQUEST -> fitsBeside(used - usedByStreams, share)
+        MemoryClass.RESPONSE -> fitsBeside(used, share)
     }
 
+    private fun fitsBeside(others: Long, share: MemoryShare): Boolean =
+        others + share.missing <= limit(share.memoryClass) || usedBy[share.use.ordinal] == share.bytes
+
     private fun limit(kind: MemoryClass): Long = (capacity * kind.part).toLong()
 
     private fun grant(share: MemoryShare) {
--- a/gateway/src/main/kotlin/boragering/gateway/MemoryShare.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/MemoryShare.kt
@@ -6,6 +6,9 @@
     RESPONSE(part = 1.0),
     SMALL_REQUEST(part = 0.75),
     REQUEST(part = 0.5),
+
+    /** Streams come last, because their callers have the first part of their answers. */
+    STREAM(part = 0.25),
 }
 
 /** The memory of one message. Used on the event loop only. */
@@ -29,6 +32,7 @@
 
     internal val memoryClass: MemoryClass
         get() = when {
+            use == MemoryUse.STREAM -> MemoryClass.STREAM
             use == MemoryUse.RESPONSE -> if (small) MemoryClass.SMALL_RESPONSE else MemoryClass.RESPONSE
             else -> if (small) MemoryClass.SMALL_REQUEST else MemoryClass.REQUEST
         }
--- a/gateway/src/main/kotlin/boragering/gateway/RequestPipeline.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/RequestPipeline.kt
@@ -41,9 +41,9 @@
         serveNext()
     }
 
-    /** Resumes or pauses reading from the target, depending on whether the caller's connection accepts more data. */
-    fun onWritabilityChanged(writable: Boolean) {
-        exchange?.onCallerWritabilityChanged(writable)
+    /** Sends what has waited for the caller, whose connection accepts more data. */
+    fun onWritable() {
+        exchange?.onCallerWritable()
     }
 
     /** Cancels all requests because the caller has closed the connection. */
@@ -68,7 +68,8 @@
     }
 
     private fun serve(request: ReceivedRequest, arrivedAt: Duration) {
-        val writer = ResponseWriter(channel, request, { state.draining }, ::onResponseEnded)
+        val backlog = StreamBacklog(state.bodyMemory) { exchange?.onCallerWritable() }
+        val writer = ResponseWriter(channel, request, backlog, { state.draining }, ::onResponseEnded)
         val routes = state.routes
         if (routes == null) {
             refuse(request, Refusal.Unavailable("no configuration is known", Refusal.soon(state.ports.random)), writer)
--- a/gateway/src/main/kotlin/boragering/gateway/ResponseWriter.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ResponseWriter.kt
@@ -22,12 +22,13 @@
 internal class ResponseWriter(
     private val channel: Channel,
     private val request: ReceivedRequest,
+    backlog: StreamBacklog,
     private val draining: () -> Boolean,
     private val onEnded: (Boolean) -> Unit,
 ) : CallerResponse {
     private var keepOpen = false
 
-    override val events = StreamWriter(channel)
+    override val events = StreamWriter(channel, backlog)
 
     override fun sendComplete(head: ResponseHead, body: ResponseBody) {
         val withBody = request.method != HttpMethod.HEAD && head.status !in STATUSES_WITHOUT_BODY
@@ -65,7 +66,9 @@
     }
 
     override fun endStream() {
-        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        val memory = events.addRest()
+        val written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        if (memory != null) written.addListener { memory.release() }
         onEnded(keepOpen)
     }
 
--- a/gateway/src/main/kotlin/boragering/gateway/StreamChunk.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/StreamChunk.kt
@@ -14,6 +14,12 @@
     /** Carriage return and line feed. */
     private const val LINE_END = 0x0d0a
 
+    /** The bytes that precede [content] in its chunk. */
+    fun prefix(content: ByteArray): ByteArray = (content.size.toString(HEXADECIMAL) + "\r\n").toByteArray()
+
+    /** The bytes that follow the content of a chunk. */
+    val SUFFIX = "\r\n".toByteArray()
+
     /** One chunk with [content], in a single buffer, which takes one system call and no further copy to be sent. */
     fun encode(content: ByteArray, allocator: ByteBufAllocator): ByteBuf {
         val length = content.size.toString(HEXADECIMAL)
--- a/gateway/src/main/kotlin/boragering/gateway/TargetUsages.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetUsages.kt
@@ -82,6 +82,12 @@
     private var lastActiveAt = Duration.ZERO
     private var consecutiveSuspicions = 0
 
+    /** Number of streams that are not read, whose silence says nothing about the target. */
+    var pausedResponses = 0
+
+    /** When a stream was last read again after a pause. */
+    var resumedAt = Duration.ZERO
+
     var load = TargetLoad()
         private set
 
@@ -119,7 +125,8 @@
     fun activeWithin(time: Duration, now: Duration): Boolean = now - lastActiveAt < time
 
     /** Whether all streams have stalled for [limit], as happens when a group has lost a member. */
-    fun stalled(now: Duration, limit: Duration): Boolean = activeStreams > 0 && now - lastActiveAt > limit
+    fun stalled(now: Duration, limit: Duration): Boolean =
+        activeStreams > pausedResponses && now - maxOf(lastActiveAt, resumedAt) > limit
 
     /** Updates the load from the target's header: numbers of running requests, waiting requests and slots. */
     fun updateLoad(header: String?, now: Duration) {
--- a/gateway/src/test/kotlin/boragering/gateway/ScriptedTarget.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/ScriptedTarget.kt
@@ -114,6 +114,10 @@
         }
     }
 
+    /** Called before the target reads from a new connection. */
+    @Volatile
+    var beforeRead: () -> Unit = {}
+
     /** Whether the target has crashed. */
     val crashed: Boolean get() = server.isClosed
 
@@ -128,6 +132,7 @@
 
     private fun serve(socket: Socket) = socket.use {
         sockets += socket
+        beforeRead()
         while (!socket.isClosed) {
             val request = runCatching { readMessage(socket.getInputStream()) }.getOrNull() ?: return
             requests += request
