--- a/gateway/src/main/kotlin/boragering/gateway/AttemptActivity.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/AttemptActivity.kt
@@ -14,6 +14,24 @@
     var streaming = false
         private set
 
+    /** Whether the response is not read because there is no memory for it. */
+    var paused = false
+        private set
+
+    /** Whether the time until the next event is not the target's alone, because its response was not read. */
+    private var pausedSinceEvent = false
+
+    /** Records whether the response is read. While it is not, its silence says nothing about the target. */
+    fun setPaused(pause: Boolean) {
+        if (pause == paused) return
+        paused = pause
+        pausedSinceEvent = true
+        usage.pausedResponses += if (pause) 1 else -1
+        if (pause) return
+        lastProgressAt = now()
+        usage.resumedAt = lastProgressAt
+    }
+
     /** Records that the response progressed. */
     fun recordProgress() {
         lastProgressAt = now()
@@ -22,9 +40,14 @@
 
     /** Records that an event has arrived. */
     fun recordEvent() {
+        val previousAt = lastProgressAt
         recordProgress()
-        if (streaming) return
-        streaming = true
-        usage.onStreamStart(startedAt)
+        if (streaming) {
+            if (!pausedSinceEvent) usage.pace.onGap(lastProgressAt - previousAt, lastProgressAt)
+        } else {
+            streaming = true
+            usage.onStreamStart(startedAt)
+        }
+        pausedSinceEvent = false
     }
 }
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayMetrics.kt
@@ -43,6 +43,11 @@
     internal fun recordAdmissionRejection(route: String, reason: String) =
         admissionRejections.labelValues(route, reason).inc()
 
+    private val pausedStreams =
+        registry.counter { name("boragering_gateway_paused_streams").help("pauses of streams for want of memory") }
+
+    internal fun recordPausedStream() = pausedStreams.inc()
+
     internal fun recordTargetCrash() = crashes.inc()
 
     internal fun recordQuarantine() = quarantines.inc()
--- a/gateway/src/main/kotlin/boragering/gateway/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetAttempt.kt
@@ -62,9 +62,6 @@
     /** When the response last progressed: by its head, by a complete event, or by bytes of a non-stream response. */
     val lastProgressAt: Duration get() = activity.lastProgressAt
 
-    /** Whether reading was paused since the last event; the time until the next one is then not the target's. */
-    var readingPaused = false
-
     /** Whether events of a stream have arrived. */
     val streaming: Boolean get() = activity.streaming
 
@@ -117,13 +114,9 @@
     }
 
     private fun forwardEvent(current: ResponseHead, event: ByteArray, id: Long?) {
-        val wasStreaming = streaming
-        val previousAt = lastProgressAt
         repeated = repeated || containsHead(event)
         if (repeated) return activity.recordProgress()
         activity.recordEvent()
-        if (wasStreaming && !readingPaused) usage.pace.onGap(lastProgressAt - previousAt, lastProgressAt)
-        readingPaused = false
         listener.onEvent(this, current, event, id)
     }
 
