Compare zones by name when a request's targets are narrowed

Cause: each usable target was looked up in the list of its zone's targets, quadratic work per choice.

Change: ZoneChoice compares the names of the zones; the result is the same.

Tested: ZoneSpilloverTest and TargetPaceTest pass, and fleet's lint.

--- a/fleet/src/main/kotlin/boragering/fleet/ZoneChoice.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ZoneChoice.kt
@@ -18,6 +18,7 @@
     private class ZoneLoad(val targets: List<CandidateLoad>, wait: Duration, val roundTrip: Duration) {
         val startTime = wait + roundTrip
         val occupancy get() = SlotWait.occupancy(targets)
+        val name = targets.first().candidate.target.availabilityZone
         val freeSlots = targets.sumOf { it.freeSlots }
     }
 
@@ -45,7 +46,7 @@
     }
 
     private fun zoneLoads(loads: List<CandidateLoad>, context: ChoiceContext, delays: ZoneDelays) =
-        loads.groupBy { it.candidate.target.availabilityZone }.mapValues { (zone, targets) ->
+        loads.groupBy { it.zone }.mapValues { (zone, targets) ->
             ZoneLoad(targets, SlotWait.of(targets, context.targetLatency), delays.roundTrip(own, zone))
         }
 
@@ -69,7 +70,9 @@
     }
 
     private fun inZone(zone: ZoneLoad?, usable: List<CandidateLoad>): List<CandidateLoad> =
-        if (zone == null) usable else usable.filter { it in zone.targets }.ifEmpty { usable }
+        if (zone == null) usable else usable.filter { it.zone == zone.name }.ifEmpty { usable }
+
+    private val CandidateLoad.zone: AvailabilityZone get() = candidate.target.availabilityZone
 
     private companion object {
         /**
