--- a/daemon/src/main/kotlin/boragering/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/boragering/daemon/Daemon.kt
@@ -71,7 +71,7 @@
                 settings.seeds.map { it.toString() },
             ),
             PeerStackPorts(store, clock, hybridClock, timeline, random, registry),
-            ::handlePeerMessage,
+            onMessage = ::handlePeerMessage,
         )
     private val items = peers.items
     private val link = peers.link
