Test the wait for capacity at a gateway, and describe it

Cause: the admission of requests was tested without a network only, and operators had no description of it.

--- a/gateway/src/main/kotlin/boragering/gateway/AdmissionExchange.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/AdmissionExchange.kt
@@ -35,7 +35,7 @@
     private companion object {
         val INTERVAL = 2.seconds
 
-        /** Organisations in one message, which keeps it below about 1 KB. */
+        /** Organisations in one message, which keeps it at about 1 KB. */
         const val MAX_ORGANISATIONS = 64
     }
 }
--- a/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
@@ -68,17 +68,27 @@
     }
 }
 
-/** How many connections of [callers] a gateway takes, and how many bytes of bodies. */
-internal class GatewayCapacity(val callers: Int = 100, val bodyBytes: Long = 64L shl 20)
+/**
+ * How many connections of [callers] a gateway takes, how many bytes of bodies, and whether the capacity of its targets
+ * is [prioritised].
+ */
+internal class GatewayCapacity(
+    val callers: Int = 100,
+    val bodyBytes: Long = 64L shl 20,
+    val prioritised: Boolean = false,
+)
 
-/** A gateway on loopback with [targets] and one route for each repeatability, such as `/idempotent/`. */
+/**
+ * A gateway on loopback with [targets] and one route for each repeatability, such as `/idempotent/`. The routes have
+ * different priorities if the capacity is prioritised.
+ */
 internal class GatewayFixture(
     private vararg val targets: ScriptedTarget,
     private val timeout: Duration = 5.seconds,
     private val attempts: Int = 2,
     private val limits: CallerLimits = CallerLimits(8_192, 100_000, 5.seconds, 10.seconds),
     configured: Boolean = true,
-    capacity: GatewayCapacity = GatewayCapacity(),
+    private val capacity: GatewayCapacity = GatewayCapacity(),
 ) : AutoCloseable {
     val clock = MovableClock()
     private val loop = GatewayLoop(clock)
@@ -144,8 +154,9 @@
         split = persistentListOf(WeightedService(service, 1.0)),
         attempts = attempts,
         timeout = timeout,
-        targetLatency = 300.milliseconds,
+        targetLatency = if (capacity.prioritised) 600.milliseconds else 300.milliseconds,
         targetGap = 200.milliseconds,
+        priority = if (capacity.prioritised) repeatability.ordinal else 0,
     )
 }
 
