--- a/fleet/src/main/kotlin/boragering/fleet/CandidateLoad.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/CandidateLoad.kt
@@ -55,14 +55,14 @@
         targets.sumOf { it.slots * it.occupancy / it.pace } / targets.sumOf { it.slots / it.pace }
 
     /**
-     * Time for which a request has its slot, in target latencies. Computed from the requests of PeakDay: 172 tokens in
-     * 1.2 s with a target latency of 0.3 s, 226 tokens in 1.0 s with 0.2 s.
+     * Time for which a request has its slot, in target latencies: an answer of some 200 tokens takes about a second,
+     * its first event a quarter of that.
      */
     private const val SLOT_TIME = 4.0
 
     /**
-     * Delay of a request by others that fill all slots, in target latencies. Chosen in trials with PeakDay, with which
-     * the delay below full occupancy was computed: a prompt of 1,700 tokens needs 34 ms of a target latency of 300 ms.
+     * Delay of a request by others that fill all slots, in target latencies: the prompts that are read beside its own
+     * need about a tenth of the target latency each.
      */
     private const val CROWDING = 0.25
 
--- a/gateway/src/main/kotlin/boragering/gateway/AdmissionControl.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/AdmissionControl.kt
@@ -46,7 +46,10 @@
 
     /** What the time that the caller of [routed] has left tells of its earlier attempts. */
     fun classify(routed: RoutedRequest): CallerAttempt {
-        if (!routed.received.headers.contains(state.headerNames.deadlineRemaining)) return CallerAttempt.First
+        // A caller whose stream has broken off resumes it at once, and rightly so.
+        val resumes = routed.lastEventId != null
+        val timeLeftKnown = routed.received.headers.contains(state.headerNames.deadlineRemaining)
+        if (resumes || !timeLeftKnown) return CallerAttempt.First
         return callerReturns.classify(routed.route, routed.callerDeadline - routed.arrivedAt, state.now())
     }
 
