Mend what the review of the new parts found

Faults, found by reading: the timer that wakes waiting requests could stop for good when a wait's end let the next request of a connection begin; a target that became cold while it stated a rate kept its permits; a new configuration made warm instances cold, and each change of an entry began their cold time anew; a request that failed at once for want of connections counted as sent; a caller with a larger time limit made all others look returned; callers that were told 0.3 s for another reason counted as repeating too soon; memory of a stream's backlog was held at its peak; names of unknown models evicted zone fractions; lanes of removed services stayed. Not mended: an organisation beyond its share that comes back in time can go first in its class and be full where others would not be (docs/design/admission.md). Also: the times of reopened zones, which nothing used, with their test; wording and names. A gateway test shows instead that a reopened zone gets what cold instances sustain. Tested: the tests of these parts in fleet, gateway and platform, which pass; the cases for cold instances and the permits are new.

--- a/fleet/src/main/kotlin/boragering/fleet/CallerReturns.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/CallerReturns.kt
@@ -63,7 +63,10 @@
         /** Differences between the times that first attempts have left. */
         val NOISE = 50.milliseconds
 
-        /** Part of the retry time that can be missing from the difference, because of rounding and transit times. */
-        val TRANSIT_TOLERANCE = 20.milliseconds
+        /**
+         * Part of the retry time that can be missing from the difference, because of rounding, transit times and a
+         * route whose timeout is a little shorter than the time that callers wait.
+         */
+        val TRANSIT_TOLERANCE = 80.milliseconds
     }
 }
--- a/fleet/src/main/kotlin/boragering/fleet/CandidateLoad.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/CandidateLoad.kt
@@ -45,9 +45,9 @@
     fun of(targets: List<CandidateLoad>, targetLatency: Duration): Duration {
         val slots = targets.sumOf { it.slots / it.pace }
         if (slots <= 0) return Duration.INFINITE
-        val occupancy = occupancy(targets).coerceIn(0.0, FULLEST)
+        val occupancy = occupancy(targets).coerceIn(0.0, MAX_MODELLED_OCCUPANCY)
         val queued = occupancy.pow(sqrt(2 * (slots + 1)) - 1) / (1 - occupancy)
-        return targetLatency * (SLOT_TIME * queued / slots + CROWDING * occupancy)
+        return targetLatency * (SLOT_TIME * queued / slots + PROMPT_CONTENTION * occupancy)
     }
 
     /** The mean occupancy of [targets], a slow target counting as if it had fewer slots. */
@@ -64,8 +64,8 @@
      * Delay of a request by others that fill all slots, in target latencies: the prompts that are read beside its own
      * need about a tenth of the target latency each.
      */
-    private const val CROWDING = 0.25
+    private const val PROMPT_CONTENTION = 0.25
 
     /** The approximation has no value at 1. */
-    private const val FULLEST = 0.99
+    private const val MAX_MODELLED_OCCUPANCY = 0.99
 }
--- a/fleet/src/main/kotlin/boragering/fleet/ColdInstances.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ColdInstances.kt
@@ -9,7 +9,7 @@
 /**
  * The instances that are cold, as far as this gateway knows, and the requests that they may get.
  *
- * Answers the load that all gateways send to instances which look idle because they have just started or come back.
+ * Prevents all gateways from sending at once to instances that look idle because they have just started or come back.
  * What an instance states holds for as long as it states, and for the service's cold time at most, so that the
  * knowledge expires also while no entries arrive. Instances of a service without a cold time are never cold. Times are
  * of the monotonic clock. Not thread-safe.
@@ -33,6 +33,7 @@
         if (changed == limits) return
         limits = changed
         known = persistentMapOf()
+        complete = false
     }
 
     /**
@@ -65,13 +66,19 @@
 
     /** Returns whether [instance] has become cold. */
     private fun learn(instance: Instance, now: Duration): Boolean {
-        val (profile, limit) = limits[instance.service] ?: return false
+        val (profile, limit) = limits[instance.service]?.takeIf { states(instance) } ?: return false
         val wasCold = cold.remove(instance.start) != null
         val remaining = remaining(instance, profile).coerceAtMost(profile.duration)
         if (remaining > Duration.ZERO) cold[instance.start] = ColdInstance(now + remaining, limit)
         return remaining > Duration.ZERO && !wasCold
     }
 
+    /** Whether [instance] states something new. An entry that has changed otherwise repeats the earlier statement. */
+    private fun states(instance: Instance): Boolean {
+        val before = known[instance.id]
+        return before?.start != instance.start || before.coldRemaining != instance.coldRemaining
+    }
+
     private fun remaining(instance: Instance, profile: ColdStartProfile): Duration {
         val justStarted = complete && known[instance.id]?.start != instance.start
         return instance.coldRemaining ?: if (justStarted) profile.duration else Duration.ZERO
--- a/fleet/src/main/kotlin/boragering/fleet/ModelDemand.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ModelDemand.kt
@@ -7,11 +7,10 @@
 /**
  * The shares of a pool's instances that the models' callers need, as one gateway estimates them.
  *
- * Answers a demand for the models that differs from the shares in the configuration, which only describe the demand at
- * the start: the groups of one model are full and refuse callers while those of another one are idle. The share of a
- * model follows from the requests in progress at its groups and the size of a group, with one more group for the loss
- * of one. The estimate is smoothed, since demand swings within seconds and a regrouping costs more than a second of
- * service.
+ * Corrects the configured shares, which only describe the demand at the start, where the demand differs: the groups of
+ * one model are full and refuse callers while those of another one are idle. The share of a model follows from the
+ * requests in progress at its groups and the size of a group, with one more group for the loss of one. The estimate is
+ * smoothed, since demand swings within seconds and a regrouping costs more than a second of service.
  *
  * Times are of the monotonic clock. Not thread-safe.
  */
--- a/fleet/src/main/kotlin/boragering/fleet/ReturnTimes.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ReturnTimes.kt
@@ -40,7 +40,10 @@
          * and then repeats at once from one that was rejected at once and comes back as told.
          */
         fun earliestReturn(targetLatency: Duration, timeLeft: Duration): Duration =
-            minOf(EARLIEST + targetLatency * AdmissionRequest.WAIT_FRACTION, timeLeft / PART_OF_TIME_LEFT)
+            minOf(EARLIEST + longestWait(targetLatency), timeLeft / PART_OF_TIME_LEFT)
+
+        /** Longest time that a first attempt waits for capacity before it is rejected. */
+        fun longestWait(targetLatency: Duration): Duration = targetLatency * AdmissionRequest.WAIT_FRACTION
 
         private val JITTER = 100.milliseconds
         private const val PART_OF_TIME_LEFT = 3
--- a/fleet/src/main/kotlin/boragering/fleet/TargetRate.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/TargetRate.kt
@@ -65,7 +65,7 @@
 
     /** Whether a request may be sent to the target at [now], of which [cold] is the limit while it is cold. */
     fun mayTake(now: Duration, cold: RateLimit? = null): Boolean {
-        if (limit == null && cold != null) begin(now)
+        if (cold != null && cold != coldLimit) begin(now)
         coldLimit = cold
         if (limit == null) return true
         refill(now)
--- a/fleet/src/main/kotlin/boragering/fleet/UrgencyHeadroom.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/UrgencyHeadroom.kt
@@ -67,9 +67,17 @@
 
         /** Gateways report every 2 s. */
         val PEER_SHORTAGE_MEMORY = 2.5.seconds
+
+        /** Time in which a lower limit shows in the load of the targets, so that the reserve grows in steps. */
         val RAISE_INTERVAL = 100.milliseconds
+
+        /** Requests per slot by which the reserve grows in each step. */
         const val RAISE = 0.05
+
+        /** Requests per slot beyond which the reserve does not grow, so that other requests are never shut out. */
         const val MAX_RESERVE = 0.4
+
+        /** Requests per slot by which the reserve shrinks per second once the shortage is over. */
         const val RECOVERY_PER_SECOND = 0.2
     }
 }
--- a/fleet/src/main/kotlin/boragering/fleet/ZoneDelays.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ZoneDelays.kt
@@ -23,7 +23,7 @@
      * Whether leaving [zone] costs a caller with [targetLatency] a noticeable time. Where the longest round trip is
      * below one hundredth of the target latency, it is not worth a decision of its own.
      */
-    fun matter(zone: AvailabilityZone, targetLatency: Duration): Boolean {
+    fun isSignificant(zone: AvailabilityZone, targetLatency: Duration): Boolean {
         val others = oneWay.keys + oneWay.values.flatMap { it.keys }
         return others.any { roundTrip(zone, it) * NOTICEABLE_SHARE >= targetLatency }
     }
--- a/fleet/src/main/kotlin/boragering/fleet/ZoneEvacuations.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ZoneEvacuations.kt
@@ -6,16 +6,13 @@
 import kotlin.time.Duration
 
 /**
- * The availability zones that operators have evacuated, and those that they have reopened. No request and no order goes
- * to an instance in an evacuated zone. All times are those of the monotonic clock.
+ * The availability zones that operators have evacuated. No request and no order goes to an instance in an evacuated
+ * zone. All times are those of the monotonic clock.
  *
  * @property since the evacuated zones, with the time at which this process learned of each.
- * @property reopenedAt the zones that were evacuated before, with the time at which this process learned that they are
- *   open again; at most the [MAX_REOPENED] latest.
  */
 data class ZoneEvacuations(
     val since: PersistentMap<AvailabilityZone, Duration> = persistentMapOf(),
-    val reopenedAt: PersistentMap<AvailabilityZone, Duration> = persistentMapOf(),
     private val keptUntil: PersistentMap<AvailabilityZone, Duration> = persistentMapOf(),
 ) {
     /** The evacuated zones. */
@@ -28,7 +25,6 @@
     fun evacuate(zone: AvailabilityZone, now: Duration): ZoneEvacuations =
         ZoneEvacuations(
             since = if (zone in since) since else since.put(zone, now),
-            reopenedAt = reopenedAt.remove(zone),
             keptUntil = keptUntil.remove(zone),
         )
 
@@ -39,21 +35,10 @@
     fun reopen(zone: AvailabilityZone, now: Duration, deadline: Duration? = null): ZoneEvacuations = when {
         zone !in since -> this
         deadline != null && deadline > now -> copy(keptUntil = keptUntil.put(zone, deadline))
-        else -> ZoneEvacuations(since.remove(zone), withReopened(zone, now), keptUntil.remove(zone))
+        else -> ZoneEvacuations(since.remove(zone), keptUntil.remove(zone))
     }
 
     /** Returns these evacuations without those whose deadline has passed by [now]. */
     fun expire(now: Duration): ZoneEvacuations =
         keptUntil.filterValues { it <= now }.keys.fold(this) { remaining, zone -> remaining.reopen(zone, now) }
-
-    private fun withReopened(zone: AvailabilityZone, now: Duration): PersistentMap<AvailabilityZone, Duration> {
-        val all = reopenedAt.put(zone, now)
-        val oldest = all.minBy { it.value }.key
-        return if (all.size > MAX_REOPENED) all.remove(oldest) else all
-    }
-
-    private companion object {
-        /** Several times the number of zones of the largest deployment (14). */
-        const val MAX_REOPENED = 64
-    }
 }
--- a/fleet/src/test/kotlin/boragering/fleet/ColdInstancesTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/ColdInstancesTest.kt
@@ -134,6 +134,23 @@
             cold.limit(target(restarted), 20.seconds).shouldNotBeNull()
         }
 
+        it("is not cold because of a new configuration (guards against a service that is throttled by a change)") {
+            val cold = instances()
+            val warm = instance("i", startedAt = 1, coldRemaining = null)
+            cold.update(list(warm), 10.seconds)
+            cold.configure(listOf(service.copy(coldStart = COLD_START.copy(requestsPerSecond = 20.0))))
+            cold.update(list(warm), 11.seconds)
+            cold.limit(target(warm), 11.seconds).shouldBeNull()
+        }
+
+        it("is cold no longer because its entry changes otherwise (guards against a time that begins anew)") {
+            val cold = instances()
+            val stating = instance("i", startedAt = 1, coldRemaining = 2.seconds)
+            cold.update(list(stating), 10.seconds)
+            cold.update(list(stating.copy(slots = 2)), 11.seconds)
+            cold.limit(target(stating), 12.seconds).shouldBeNull()
+        }
+
         it("of a zone that was evacuated is cold once it is reopened (guards against a rush into a returned zone)") {
             val cold = instances()
             val warm = instance("i", startedAt = 1, coldRemaining = Duration.ZERO)
--- a/fleet/src/test/kotlin/boragering/fleet/TargetRateTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/TargetRateTest.kt
@@ -79,6 +79,13 @@
             rate.mayTake(2_200.milliseconds) shouldBe true
         }
 
+        it("leaves no permits for a target that becomes cold (guards against a burst of all that share the rate)") {
+            val rate = TargetRate({ RateShare(1, 1, holding = true) }, Random(1))
+            rate.record(RateStatement.Limited(50.0), 1.seconds, 1.seconds)
+            rate.mayTake(2.seconds) shouldBe true
+            rate.mayTake(2.seconds, RateLimit(17.0, maxHolders = 8)) shouldBe false
+        }
+
         it("that cannot be read changes nothing (guards against targets that are flooded after a typing error)") {
             val rate = limited()
             rate.record(RateStatement.of("many"), sentAt = 2_100.milliseconds, now = 2_200.milliseconds)
--- a/gateway/src/main/kotlin/boragering/gateway/AdmissionControl.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/AdmissionControl.kt
@@ -46,11 +46,11 @@
 
     /** What the time that the caller of [routed] has left tells of its earlier attempts. */
     fun classify(routed: RoutedRequest): CallerAttempt {
-        // A caller whose stream has broken off resumes it at once, and rightly so.
+        // A resumed stream is not a repeated attempt.
         val resumes = routed.lastEventId != null
         val timeLeftKnown = routed.received.headers.contains(state.headerNames.deadlineRemaining)
         if (resumes || !timeLeftKnown) return CallerAttempt.First
-        return callerReturns.classify(routed.route, routed.callerDeadline - routed.arrivedAt, state.now())
+        return callerReturns.classify(routed.route, routed.deadline - routed.arrivedAt, state.now())
     }
 
     /** Called when a request has begun to wait. */
@@ -70,6 +70,16 @@
         }
     }
 
+    /** Removes the lanes of services and models that are no longer configured, once nobody waits in them. */
+    fun onConfigured() {
+        val services = state.routes?.services.orEmpty().associateBy { it.name }
+        lanes.entries.removeIf { (key, lane) ->
+            val service = services[key.service]
+            val configured = service != null && (key.model == null || key.model in service.engine?.models.orEmpty())
+            !configured && lane.waiting == 0
+        }
+    }
+
     override fun counts(limit: Int): List<LaneCounts> {
         if (lanes.isEmpty()) return emptyList()
         val now = state.now()
@@ -99,14 +109,18 @@
         }
 
     private fun onTimer() {
-        wake()
-        timerRuns = waiting > 0
-        if (timerRuns) state.ports.loop.after(WAKE_INTERVAL, ::onTimer)
+        try {
+            wake()
+        } finally {
+            timerRuns = waiting > 0
+            if (timerRuns) state.ports.loop.after(WAKE_INTERVAL, ::onTimer)
+        }
     }
 
     private fun wake() {
         val now = state.now()
-        lanes.values.forEach { if (it.waiting > 0) it.wake(now) }
+        // The end of a wait can let the next request of the same connection begin, which may add a lane.
+        lanes.values.toList().forEach { if (it.waiting > 0) it.wake(now) }
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
@@ -147,6 +147,7 @@
         routes = RouteTable(configuration)
         profiles = configuration.services
         coldTargets.configure(configuration.services.values)
+        admission.onConfigured()
         refresh()
     }
 
--- a/gateway/src/main/kotlin/boragering/gateway/PaceMonitor.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PaceMonitor.kt
@@ -13,10 +13,10 @@
 
     /** Compares the paces of all targets, and logs those that have become slow or usual. */
     fun check() {
-        val now = slowTargets(state.targets.all)
-        (now.keys - slow.keys).forEach { state.log.event("target-slow", "target" to it, "factor" to now[it]) }
-        (slow.keys - now.keys).forEach { state.log.event("target-pace-usual", "target" to it) }
-        slow = now
+        val current = slowTargets(state.targets.all)
+        (current.keys - slow.keys).forEach { state.log.event("target-slow", "target" to it, "factor" to current[it]) }
+        (slow.keys - current.keys).forEach { state.log.event("target-pace-usual", "target" to it) }
+        slow = current
     }
 
     private fun slowTargets(targets: List<Target>): Map<InstanceStart, Double> =
--- a/gateway/src/main/kotlin/boragering/gateway/RequestAdmission.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/RequestAdmission.kt
@@ -23,6 +23,9 @@
 
     /** Handles the end of a request that was not sent. */
     interface Listener {
+        /** Whether the request has ended. */
+        val ended: Boolean
+
         /** Called when the request is rejected as not run. */
         fun onRejected(rejection: AdmissionRejection)
 
@@ -46,7 +49,8 @@
     fun withdraw() = lane.withdraw(this)
 
     override fun trySend(): SendResult = when (send(lane.demand.occupancyLimit(admission, state.now()))) {
-        is Choice.Chosen -> SendResult.SENT
+        // A target whose connections are all in use fails the request at once.
+        is Choice.Chosen -> if (onEnded.ended) SendResult.ENDED else SendResult.SENT
         Choice.Full -> SendResult.FULL
         Choice.None -> {
             onEnded.onNoTarget()
--- a/gateway/src/main/kotlin/boragering/gateway/ResponseFraming.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ResponseFraming.kt
@@ -56,7 +56,7 @@
     private fun startsVersion(bytes: ByteArray, start: Int): Boolean =
         VERSION_BYTES.indices.all { bytes[start + it] == VERSION_BYTES[it] }
 
-    /** The search in a string is several times faster than in another type of text. */
+    /** A regular expression reads a string faster than Netty's text types. */
     private fun containsStatusLine(text: CharSequence): Boolean =
         VERSION in text.toString() && STATUS_LINE.containsMatchIn(text)
 }
--- a/gateway/src/main/kotlin/boragering/gateway/StreamBacklog.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/StreamBacklog.kt
@@ -64,10 +64,10 @@
         memory = null
     }
 
-    /** Returns memory of a stream whose reading is paused, so that it is read on before its backlog is empty. */
+    /** Returns memory of a backlog that has shrunk to half, so that this stream is read on, and others get it. */
     private fun returnHalf() {
         val bytes = pages.size.toLong() * PAGE_BYTES
-        val share = memory?.takeIf { it.waiting && bytes <= it.bytes / 2 } ?: return
+        val share = memory?.takeIf { bytes <= it.bytes / 2 } ?: return
         share.release()
         memory = budget.share(MemoryUse.STREAM, onGranted).also { it.grow(bytes) }
     }
--- a/gateway/src/main/kotlin/boragering/gateway/ZoneSpillovers.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ZoneSpillovers.kt
@@ -27,14 +27,15 @@
 
     /** What decides whether [routed] leaves the zone; `null` if the fixed cost of leaving applies. */
     fun terms(routed: RoutedRequest): ZoneTerms? {
-        val delays = routed.service.engine?.delays?.takeIf { it.matter(own, routed.route.targetLatency) }
+        val engine = routed.service.engine?.takeIf { routed.model == null || routed.model in it.models }
+        val delays = engine?.delays?.takeIf { it.isSignificant(own, routed.route.targetLatency) }
         return delays?.let { ZoneTerms(it, entry(routed).spillover) }
     }
 
     /** Counts the send of [routed] to [target] at [now], and logs a changed fraction. */
     fun onSend(routed: RoutedRequest, target: Target, now: Duration) {
         ports.metrics.recordZoneSend(home = target.availabilityZone == own)
-        if (routed.service.engine?.delays == null) return
+        if (terms(routed) == null) return
         val entry = entry(routed)
         val fraction = entry.spillover.fraction(now)
         if (abs(fraction - entry.loggedFraction) < LOGGED_CHANGE) return
@@ -54,7 +55,6 @@
     private companion object {
         const val LOGGED_CHANGE = 0.1
 
-        /** The names of models come from requests. */
         const val MAX_ENTRIES = 64
     }
 }
--- a/gateway/src/test/kotlin/boragering/gateway/EvacuationTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/EvacuationTest.kt
@@ -1,14 +1,17 @@
 package boragering.gateway
 
+import boragering.fleet.ColdStartProfile
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.doubles.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
+import kotlin.time.Duration.Companion.seconds
 
 class EvacuationTest : DescribeSpec({
     fun target(zone: String, script: Script.(Int) -> Unit = { answer(200, "done") }) =
@@ -85,6 +88,21 @@
         }
     }
 
+    describe("a zone that is reopened") {
+        it("gets what cold instances sustain at first (guards against a rush to instances that come back cold)") {
+            val near = target("z")
+            val far = target("far")
+            GatewayFixture(near, far, configured = false).use { gateway ->
+                gateway.coldStart = ColdStartProfile(3.seconds, requestsPerSecond = 4.0)
+                gateway.configure()
+                gateway.evacuate("z")
+                gateway.evacuate()
+                repeat(40) { gateway.caller().use { it.call("/idempotent/a").status shouldBe 200 } }
+                near.requests.size shouldBeLessThanOrEqual 6
+            }
+        }
+    }
+
     describe("a gateway that starts while a zone is evacuated") {
         it("serves from the open zones only (guards against requests before the evacuation is known)") {
             val near = target("z")
