Deliver crash reports in the quarantine test before the clock advances

Cause: the test reports three crashes and advances the clock by 200 ms after each. A report travels in a later turn of the event loop and holds the age of the crash. If the clock advanced while the first report was on its way and not for the second one, the judge dated the first crash 200 ms late, next to the second. Crashes within 50 ms count once, so the part was never put into quarantine and the test waited in vain. The exchange itself is right: gateways whose clocks run evenly date a report late by its transit time only.

Change: the test waits until the reports of a crash have been handled. It checks what it checked before.

--- a/gateway/src/test/kotlin/boragering/gateway/QuarantineNetwork.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/QuarantineNetwork.kt
@@ -44,13 +44,22 @@
     /** The gateways that keep requests with [part] from targets. */
     fun refusing(part: SharedPart): Int = onLoop { nodes.count { it.guard.waitTime(listOf(part)) != null } }
 
-    /** A crash of a target that the gateway with [number] reports, at which a request with [part] was lost. */
-    fun crash(number: Int, part: SharedPart) = onLoop {
-        val lost = LostRequest(persistentListOf(part.part), loop.now())
-        val start = InstanceStart(InstanceId("t${targets++}"), 1)
-        nodes[number].guard.onCrash(TargetCrash(start, part.service, loop.now(), persistentListOf(lost)))
+    /** A crash of a target at which a request with [part] was lost, reported to the others by the gateway [number]. */
+    fun crash(number: Int, part: SharedPart) {
+        onLoop {
+            val lost = LostRequest(persistentListOf(part.part), loop.now())
+            val start = InstanceStart(InstanceId("t${targets++}"), 1)
+            nodes[number].guard.onCrash(TargetCrash(start, part.service, loop.now(), persistentListOf(lost)))
+        }
+        awaitDelivery()
     }
 
+    /**
+     * Waits until messages have arrived. A message holds an age, so that one that is on its way while the clock advances
+     * reports a crash too late, which then coincides with the next one and does not count.
+     */
+    private fun awaitDelivery() = onLoop { }
+
     /** An answer to a request with [part] at the gateway with [number]. */
     fun answer(number: Int, part: SharedPart) = onLoop { nodes[number].guard.onAnswered(listOf(part)) }
 
