--- a/fleet/src/main/kotlin/boragering/fleet/CapacityDemand.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/CapacityDemand.kt
@@ -1,6 +1,5 @@
 package boragering.fleet
 
-import kotlin.math.exp
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -11,7 +10,7 @@
  */
 class CapacityDemand(random: Random) {
     private val returnTimes = ReturnTimes(random)
-    private val sends = DecayingRate()
+    private val sends = DecayingCount(RATE_MEMORY)
 
     /** What each organisation has had. */
     val shares = OrganisationShares()
@@ -26,7 +25,7 @@
     /** Records the [result] of an attempt to send a request with [admission] at [now]. */
     internal fun recordResult(result: SendResult, admission: AdmissionRequest, now: Duration) = when (result) {
         SendResult.SENT -> {
-            sends.record(now)
+            sends.add(now)
             shares.recordServed(admission.organisation, now)
         }
         SendResult.FULL -> recordShortage(admission, now)
@@ -52,21 +51,6 @@
     private fun rank(admission: AdmissionRequest, now: Duration): Int =
         admission.urgency * RANKS_PER_URGENCY + if (shares.exceeded(admission.organisation, now)) 1 else 0
 
-    /** Events per second, with an exponential decay. */
-    private class DecayingRate {
-        private var count = 0.0
-        private var at = Duration.ZERO
-
-        fun record(now: Duration) {
-            count = count * kept(now) + 1
-            at = now
-        }
-
-        fun perSecond(now: Duration): Double = count * kept(now) / (RATE_MEMORY / 1.seconds)
-
-        private fun kept(now: Duration): Double = exp(-((now - at) / RATE_MEMORY).coerceAtLeast(0.0))
-    }
-
     private companion object {
         const val RANKS_PER_URGENCY = 2
 
--- a/fleet/src/main/kotlin/boragering/fleet/OrganisationShares.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/OrganisationShares.kt
@@ -1,7 +1,6 @@
 package boragering.fleet
 
 import boragering.core.OrganisationName
-import kotlin.math.exp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -13,32 +12,27 @@
  * thread-safe.
  */
 class OrganisationShares {
-    private val own = RecentMap<OrganisationName?, DecayingCount>(MAX_ORGANISATIONS)
-    private val ownTotal = DecayingCount()
+    private val own = RecentMap<OrganisationName?, ServiceCount>(MAX_ORGANISATIONS)
+    private val ownTotal = ServiceCount()
     private var activeCount = 1
     private var activeCountedAt = -COUNT_INTERVAL
 
     /** The counts of other gateways. */
     val peers = PeerOrganisationCounts()
 
-    /** Two counts that decay with the same time constant. */
-    private class DecayingCount {
-        private var asked = 0.0
-        private var served = 0.0
-        private var at = Duration.ZERO
+    /** The requests asked for, and those of them that were sent to a target. */
+    private class ServiceCount {
+        private val asked = DecayingCount(MEMORY)
+        private val served = DecayingCount(MEMORY)
 
         fun add(asked: Double, served: Double, now: Duration) {
-            val kept = kept(now)
-            this.asked = this.asked * kept + asked
-            this.served = this.served * kept + served
-            at = now
+            this.asked.add(now, asked)
+            this.served.add(now, served)
         }
 
-        fun asked(now: Duration): Double = asked * kept(now)
+        fun asked(now: Duration): Double = asked.value(now)
 
-        fun served(now: Duration): Double = served * kept(now)
-
-        private fun kept(now: Duration): Double = exp(-((now - at) / MEMORY).coerceAtLeast(0.0))
+        fun served(now: Duration): Double = served.value(now)
     }
 
     /** Records a request of [organisation]; repetitions are not recorded, so that they do not raise its claim. */
@@ -90,7 +84,7 @@
     }
 
     private fun record(organisation: OrganisationName?, asked: Double, served: Double, now: Duration) {
-        val count = own[organisation] ?: DecayingCount()
+        val count = own[organisation] ?: ServiceCount()
         count.add(asked, served, now)
         own[organisation] = count
         ownTotal.add(asked, served, now)
