--- a/gateway/src/test/kotlin/boragering/gateway/QuarantineNetwork.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/QuarantineNetwork.kt
@@ -55,8 +55,8 @@
     }
 
     /**
-     * Waits until messages have arrived. A message holds an age, so that one that is on its way while the clock advances
-     * reports a crash too late, which then coincides with the next one and does not count.
+     * Waits until messages have arrived. A message holds an age, so that one that is on its way while the clock is
+     * advanced reports a crash too late, which then coincides with the next one and does not count.
      */
     private fun awaitDelivery() = onLoop { }
 
