Count rejected requests as demand for a model

Cause: the shares by which the planner divides instances followed from the requests in progress at the groups of a model. A model that has lost its groups has none in progress, so its shares stayed at the configured half, and each model's spare group weighed four instances for the one and two for the other.

Change: each gateway counts the requests that it rejected for want of capacity or of a target. While one model's callers are rejected and another one's are not, the shares follow the demand at once, and the model that serves all its callers gives up its spare group.

--- a/fleet/src/main/kotlin/boragering/fleet/ModelDemand.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ModelDemand.kt
@@ -9,29 +9,36 @@
  *
  * Corrects the configured shares, which only describe the demand at the start, where the demand differs: the groups of
  * one model are full and refuse callers while those of another one are idle. The share of a model follows from the
- * requests in progress at its groups and the size of a group, with one more group for the loss of one. The estimate is
- * smoothed, since demand swings within seconds and a regrouping costs more than a second of service.
+ * requests that are or would be in progress at its groups and the size of a group, with one more group for the loss of
+ * one. The estimate is smoothed, since demand swings within seconds and a regrouping costs more than a second of
+ * service.
+ *
+ * While one model's callers are rejected and another one's are not, the shares follow the demand however close they are
+ * to it, and the model that serves all its callers gives its spare group up.
  *
  * Times are of the monotonic clock. Not thread-safe.
  */
 class ModelDemand {
-    private val instances = HashMap<ModelName, Double>()
+    private val groups = HashMap<ModelName, Double>()
+    private val shortUntil = HashMap<ModelName, Duration>()
     private var firstAt: Duration? = null
     private var lastAt = Duration.ZERO
     private var following = false
 
-    /** Records the numbers of [requests] that are in progress at the groups of each model at [now]. */
-    fun record(engine: EngineProfile, requests: Map<ModelName, Double>, now: Duration) {
-        if (requests.values.sum() < MIN_REQUESTS) return
+    /** Records the [loads] of the models at [now]. */
+    fun record(engine: EngineProfile, loads: Map<ModelName, ModelLoad>, now: Duration) {
+        if (loads.values.sumOf { it.requests } < MIN_REQUESTS) return
         val weight = if (firstAt == null) 1.0 else 1 - exp(-((now - lastAt) / SMOOTHING_TIME))
         if (firstAt == null) firstAt = now
         lastAt = now
-        instances.keys.retainAll(engine.models.keys)
-        engine.models.values.forEach { model ->
-            val groups = (requests[model.name] ?: 0.0) / engine.slots.coerceAtLeast(1) + SPARE_GROUPS
-            val needed = groups * model.groupSize
-            val before = instances[model.name] ?: needed
-            instances[model.name] = before + weight * (needed - before)
+        groups.keys.retainAll(engine.models.keys)
+        shortUntil.keys.retainAll(engine.models.keys)
+        engine.models.keys.forEach { model ->
+            val load = loads[model] ?: ModelLoad(requests = 0.0)
+            val busy = load.requests / engine.slots.coerceAtLeast(1)
+            val before = groups[model] ?: busy
+            groups[model] = before + weight * (busy - before)
+            if (load.unservedShare > TOLERATED_UNSERVED_SHARE) shortUntil[model] = now + SHORTAGE_MEMORY
         }
     }
 
@@ -44,13 +51,23 @@
      * are nearly met, and while the demand is not [known].
      */
     fun apply(engine: EngineProfile, now: Duration): EngineProfile {
-        val total = instances.values.sum()
-        if (!known(now) || total <= 0.0 || engine.models.keys != instances.keys) return engine
-        val needed = instances.mapValues { (it.value / total).coerceAtLeast(MIN_SHARE) }
-        following = mismatch(engine, needed) > if (following) TOLERATED_WHEN_FOLLOWING else TOLERATED_MISMATCH
+        if (!known(now) || engine.models.keys != groups.keys) return engine
+        val short = engine.models.keys.filterTo(HashSet()) { model -> shortUntil[model].let { it != null && it > now } }
+        val unequal = short.isNotEmpty() && short.size < engine.models.size
+        val needed = neededShares(engine) { if (!unequal || it in short) SPARE_GROUPS else 0.0 }
+        val tolerated = if (following) TOLERATED_WHEN_FOLLOWING else TOLERATED_MISMATCH
+        following = unequal || mismatch(engine, needed) > tolerated
         return if (following) engine.withShares(needed) else engine
     }
 
+    private fun neededShares(engine: EngineProfile, spareGroups: (ModelName) -> Double): Map<ModelName, Double> {
+        val instances = engine.models.values.associate { model ->
+            model.name to (groups.getValue(model.name) + spareGroups(model.name)) * model.groupSize
+        }
+        val total = instances.values.sum()
+        return instances.mapValues { (it.value / total).coerceAtLeast(MIN_SHARE) }
+    }
+
     /** How many times better one model is supplied than another one by the configured shares. */
     private fun mismatch(engine: EngineProfile, needed: Map<ModelName, Double>): Double {
         val ratios = engine.models.values.map { needed.getValue(it.name) / it.weight }
@@ -70,6 +87,12 @@
         /** Requests in progress below which the proportions between models mean nothing. */
         const val MIN_REQUESTS = 3.0
 
+        /** Fraction of a model's requests that may find no capacity before the model counts as short of groups. */
+        const val TOLERATED_UNSERVED_SHARE = 0.05
+
+        /** Time for which a model counts as short after its last shortage; a group that it needs takes as long. */
+        val SHORTAGE_MEMORY = 10.seconds
+
         /** Groups beyond those that the requests fill. A large group loses a member more often than a small one. */
         const val SPARE_GROUPS = 1.0
 
--- a/fleet/src/test/kotlin/boragering/fleet/LossyDay.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/LossyDay.kt
@@ -70,6 +70,37 @@
             swing = 0.3,
             domains = 9,
         )
+
+        private val fourOfHalf = four.copy(share = 0.5)
+        private val twoOfHalf = two.copy(share = 0.5)
+
+        /** Equal shares for groups of four, one of which suffices, and of two; four weight loads at once. */
+        val SCARCE_SMALL_GROUPS = LossyLoad(
+            engine(fourOfHalf, twoOfHalf, loadsPerSecond = 14.0, loadsAtOnce = 4),
+            perDomain = 6,
+            busyGroups = mapOf(four.name to 0.7, two.name to 3.5),
+            swing = 0.3,
+        )
+
+        /** Equal shares for groups of four and two, one or two of which suffice, in domains of seven. */
+        val FEW_GROUPS = LossyLoad(
+            engine(fourOfHalf, twoOfHalf, loadsPerSecond = 14.0, loadsAtOnce = 5),
+            perDomain = 7,
+            busyGroups = mapOf(four.name to 0.7, two.name to 1.2),
+            lossSize = 3,
+        )
+
+        private val fourBesideEight = twoOfHalf.copy(name = four.name, groupSize = 4)
+
+        /** Equal shares for groups of eight and four in domains of 19. */
+        val NINETEENS = LossyLoad(
+            engine(eight, fourBesideEight, loadsPerSecond = 14.0, loadsAtOnce = 20),
+            perDomain = 19,
+            busyGroups = mapOf(eight.name to 1.8, four.name to 4.5),
+            lossSize = 10,
+            arrivalInterval = 0.75.seconds,
+            domains = 9,
+        )
     }
 }
 
@@ -146,10 +177,11 @@
 
     /** Passes the shares to the planner that a gateway derives from the requests in progress at the groups. */
     private fun follow(groups: Map<ModelName?, Int>, wave: Double) {
-        val requests = load.busyGroups.mapValues { (model, busy) ->
-            minOf(busy * wave, (groups[model] ?: 0).toDouble()) * load.engine.slots
+        val loads = load.busyGroups.mapValues { (model, busy) ->
+            val unserved = 1 - (groups[model] ?: 0) * USABLE_SHARE / (busy * wave)
+            ModelLoad(busy * wave * load.engine.slots, unserved.coerceAtLeast(0.0))
         }
-        demand.record(load.engine, requests, pool.now)
+        demand.record(load.engine, loads, pool.now)
         pool.plannedEngine = demand.apply(load.engine, pool.now)
     }
 
--- /dev/null
+++ b/fleet/src/test/kotlin/boragering/fleet/ModelDemandTest.kt
@@ -0,0 +1,47 @@
+package boragering.fleet
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.doubles.plusOrMinus
+import io.kotest.matchers.doubles.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+class ModelDemandTest : DescribeSpec({
+    val (large, small) = TestModels.large.name to TestModels.small.name
+    val engine = TestModels.engine.withShares(mapOf(large to 0.5, small to 0.5))
+
+    /** The small model's share after the demand has been observed for some seconds. */
+    fun share(demand: ModelDemand, largeLoad: ModelLoad, smallLoad: ModelLoad, from: Duration = Duration.ZERO): Double {
+        val loads = mapOf(large to largeLoad, small to smallLoad)
+        repeat(10) { demand.record(engine, loads, from + it.seconds) }
+        return demand.apply(engine, from + 9.seconds).models.getValue(small).share
+    }
+
+    describe("a model whose callers are rejected beside one that serves all of its callers") {
+        val busy = ModelLoad(requests = 60.0, unservedShare = 0.5)
+
+        it("gets the instances that it needs (guards against idle groups beside rejected callers)") {
+            share(ModelDemand(), ModelLoad(requests = 10.0), busy) shouldBeGreaterThan 0.7
+        }
+
+        it("keeps them for a while (guards against shares that change back and forth)") {
+            val demand = ModelDemand()
+            share(demand, ModelLoad(requests = 10.0), busy)
+            share(demand, ModelLoad(requests = 10.0), ModelLoad(60.0), from = 9.seconds) shouldBeGreaterThan 0.7
+        }
+
+        it("leaves the other model a share (guards against a model that loses all its groups)") {
+            val share = share(ModelDemand(), ModelLoad(requests = 0.0), busy)
+            1 - share shouldBeGreaterThan 0.1
+        }
+    }
+
+    it("keeps the configured shares while all callers are served (guards against needless regroupings)") {
+        share(ModelDemand(), ModelLoad(requests = 10.0), ModelLoad(requests = 60.0)) shouldBe 0.5
+    }
+
+    it("keeps them while the callers of both models are rejected alike (guards against shares that follow noise)") {
+        share(ModelDemand(), ModelLoad(30.0, 0.5), ModelLoad(60.0, 0.5)) shouldBe (0.5 plusOrMinus 0.01)
+    }
+})
--- a/gateway/src/main/kotlin/boragering/gateway/AttemptDispatcher.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/AttemptDispatcher.kt
@@ -139,6 +139,7 @@
         attempt = next
         usage.onRequestStart(next.startedAt)
         state.spillovers.onSend(routed, target, next.startedAt)
+        if (sendCount == 1 && failedConnects == 0) state.demand.onSent(routed)
         log.requestSent(chosen, sendCount)
         val started = usage.pool.send(next, routed.service.connectionLimit(state.ports.gatewayCount()))
         if (attempt === next) callHandle = started
--- a/gateway/src/main/kotlin/boragering/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Exchange.kt
@@ -2,6 +2,7 @@
 
 import boragering.fleet.AdmissionRejection
 import boragering.fleet.Choice
+import boragering.fleet.RejectionReason
 import boragering.fleet.ReturnTimes
 import kotlin.time.Duration
 
@@ -102,6 +103,7 @@
     }
 
     private fun fail(reason: String) {
+        if (dispatcher.sendCount == 0) state.demand.onUnserved(routed)
         // A caller that comes back before this time counts as one that repeats too soon.
         val admissionTime = admission?.let { ReturnTimes.longestWait(routed.route.targetLatency) }
         val waitTime = listOfNotNull(dispatcher.waitTime, admissionTime).maxOrNull()
@@ -115,13 +117,17 @@
         admission?.withdraw()
         progress.dropFailure()
         answer.events.discard()
-        if (result.outcome == ANSWERED) dispatcher.endAttempt(mayHaveRun = true)
+        if (result.outcome != ANSWERED) return
+        dispatcher.attempt?.let { state.demand.onAnswered(routed, it.startedAt) }
+        dispatcher.endAttempt(mayHaveRun = true)
     }
 
     private inner class AdmissionEnd : RequestAdmission.Listener {
         override val ended: Boolean get() = finished
 
         override fun onRejected(rejection: AdmissionRejection) {
+            // A caller that has repeated too soon counts with its first attempt.
+            if (rejection.reason != RejectionReason.PREMATURE) state.demand.onUnserved(routed)
             val retryAfter = maxOf(rejection.retryAfter, dispatcher.waitTime ?: Duration.ZERO)
             finish(progress.refuseUnsent(rejection.reason.text, retryAfter))
         }
