Try waiting requests with a higher limit after one without capacity

AdmissionLane.wake stopped at the first waiting request that found no capacity. A request of an organisation beyond its share has a lower limit and, if its caller has come back in time, goes first in its class, so that it held up requests that would have found capacity at theirs. A wake now continues with the first request of a higher limit; each distinct limit fails once at most in a wake.

Two tests of AdmissionLaneTest failed before: the later request was not sent, and a wake tried one limit instead of two.

--- a/fleet/src/main/kotlin/boragering/fleet/AdmissionLane.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/AdmissionLane.kt
@@ -44,9 +44,7 @@
         waking = true
         try {
             rejectExpired(now)
-            do {
-                val next = queue.next(now)
-            } while (next != null && sendWaiting(next, now))
+            sendWhileCapacity(now)
         } finally {
             waking = false
         }
@@ -57,6 +55,19 @@
         reject(it, RejectionReason.WAITED, now)
     }
 
+    /**
+     * Sends waiting requests in their order. One that finds no capacity at its limit does not hold up later ones with a
+     * higher limit; those with the same or a lower one are not tried, since each attempt costs a choice of a target.
+     */
+    private fun sendWhileCapacity(now: Duration) {
+        var fullUpTo = Double.NEGATIVE_INFINITY
+        while (true) {
+            val next = queue.next(now) { demand.occupancyLimit(it, now) > fullUpTo } ?: return
+            val limit = demand.occupancyLimit(next.admission, now)
+            if (!sendWaiting(next, now)) fullUpTo = limit
+        }
+    }
+
     private fun sendWaiting(request: PendingRequest, now: Duration): Boolean {
         val result = send(request, now)
         if (result == SendResult.FULL) return false
--- a/fleet/src/main/kotlin/boragering/fleet/AdmissionQueue.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/AdmissionQueue.kt
@@ -54,11 +54,17 @@
         return true
     }
 
-    /** The request that is served next at [now]; `null` if none waits. */
-    fun next(now: Duration): PendingRequest? {
-        val organisations = classes.firstEntry()?.value?.organisations ?: return null
-        return organisations.minBy { (name, _) -> rank(name, now) }.value.first().request
-    }
+    /**
+     * The request that is served next at [now] of those for which [eligible] holds, which depends on no more than the
+     * urgency, the return and the organisation; `null` if there is none.
+     */
+    fun next(now: Duration, eligible: (AdmissionRequest) -> Boolean): PendingRequest? =
+        classes.values.firstNotNullOfOrNull { queueClass ->
+            queueClass.organisations.entries
+                .filter { (_, waiting) -> eligible(waiting.first().request.admission) }
+                .minByOrNull { (name, _) -> rank(name, now) }
+                ?.value?.first()?.request
+        }
 
     /** A request that may no longer wait at [now]; `null` if there is none. */
     fun expired(now: Duration): PendingRequest? =
