Let requests that look repeated too soon wait while no shortage is known

A first attempt that arrives late because of the network has less time left and looks like one that is repeated at once. While no shortage was known, it still got targets below half their occupancy only, and was rejected on arrival if there was none. It now waits like others, last of its urgency, with the rank of an organisation beyond its share. While a shortage is known or others wait, it is rejected on arrival as before.

Two tests of AdmissionLaneTest failed before: the request was rejected on arrival, and not sent when capacity became free.

--- a/fleet/src/main/kotlin/boragering/fleet/AdmissionLane.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/AdmissionLane.kt
@@ -24,7 +24,7 @@
         val admission = request.admission
         if (admission.caller == CallerAttempt.First) demand.shares.recordRequest(admission.organisation, now)
         when {
-            admission.caller is CallerAttempt.Premature -> offerPremature(request, now)
+            rejectedOnArrival(admission, now) -> reject(request, RejectionReason.PREMATURE, now)
             queue.size == 0 -> if (send(request, now) == SendResult.FULL) enqueue(request, now)
             else -> {
                 enqueue(request, now)
@@ -79,11 +79,9 @@
     private fun send(request: PendingRequest, now: Duration): SendResult =
         request.trySend().also { demand.recordResult(it, request.admission, now) }
 
-    private fun offerPremature(request: PendingRequest, now: Duration) {
-        if (queue.size > 0 || demand.headroom.short(now) || send(request, now) == SendResult.FULL) {
-            reject(request, RejectionReason.PREMATURE, now)
-        }
-    }
+    /** Where capacity is short, a caller that repeats at once would otherwise gain from each of its attempts. */
+    private fun rejectedOnArrival(admission: AdmissionRequest, now: Duration): Boolean =
+        admission.caller is CallerAttempt.Premature && (queue.size > 0 || demand.headroom.short(now))
 
     private fun enqueue(request: PendingRequest, now: Duration) {
         val position = queue.ahead(request.admission, now)
--- a/fleet/src/main/kotlin/boragering/fleet/AdmissionQueue.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/AdmissionQueue.kt
@@ -7,9 +7,10 @@
 
 /**
  * The requests that wait for capacity of one service and model, in the order in which they are served: by urgency;
- * callers that have come back and can be answered on time, new ones, callers that have come back too late for that; the
- * organisation with the lowest [rank]; the earliest deadline. Finding the next request takes a time that grows with the
- * organisations that wait, not with the requests. Not thread-safe.
+ * callers that have come back and can be answered on time, new ones, callers that have come back too late for that,
+ * those that have come sooner than they can have been told to; the organisation with the lowest [rank]; the earliest
+ * deadline. Finding the next request takes a time that grows with the organisations that wait, not with the requests.
+ * Not thread-safe.
  *
  * @param rank what an organisation has had relative to its share at a time of the monotonic clock.
  */
@@ -89,13 +90,15 @@
             admission.returnedInTime -> 0
             // A late answer is worth a third of one on time at most, and takes the same capacity.
             admission.returnedLate -> 2
+            // The caller has repeated at once, or its first attempt has arrived late; a gateway cannot tell which.
+            admission.caller is CallerAttempt.Premature -> CLASSES_PER_URGENCY - 1
             else -> 1
         }
         return admission.urgency * CLASSES_PER_URGENCY + place
     }
 
     private companion object {
-        const val CLASSES_PER_URGENCY = 3
+        const val CLASSES_PER_URGENCY = 4
         val BY_DEADLINE = compareBy<Entry>({ it.request.admission.deadline }, { it.number })
     }
 }
--- a/fleet/src/main/kotlin/boragering/fleet/CapacityDemand.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/CapacityDemand.kt
@@ -20,7 +20,7 @@
 
     /** The occupancy up to which a request with [admission] fills targets at [now]. */
     fun occupancyLimit(admission: AdmissionRequest, now: Duration): Double =
-        if (admission.caller is CallerAttempt.Premature) PREMATURE_LIMIT else headroom.limit(rank(admission, now), now)
+        headroom.limit(rank(admission, now), now)
 
     /** Records the [result] of an attempt to send a request with [admission] at [now]. */
     internal fun recordResult(result: SendResult, admission: AdmissionRequest, now: Duration) = when (result) {
@@ -48,14 +48,13 @@
             AdmissionRejection(reason, position, expected, retryAfter)
         }
 
-    private fun rank(admission: AdmissionRequest, now: Duration): Int =
-        admission.urgency * RANKS_PER_URGENCY + if (shares.exceeded(admission.organisation, now)) 1 else 0
+    private fun rank(admission: AdmissionRequest, now: Duration): Int {
+        val last = admission.caller is CallerAttempt.Premature || shares.exceeded(admission.organisation, now)
+        return admission.urgency * RANKS_PER_URGENCY + if (last) 1 else 0
+    }
 
     private companion object {
         const val RANKS_PER_URGENCY = 2
-
-        /** A caller that repeats at once gets only capacity that is clearly free, also where no shortage is known. */
-        const val PREMATURE_LIMIT = 0.5
         val RATE_MEMORY = 1.seconds
 
         /** Rate by which waits are estimated at a gateway that has recently found no free capacity. */
--- a/fleet/src/test/kotlin/boragering/fleet/AdmissionLaneTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/AdmissionLaneTest.kt
@@ -11,8 +11,8 @@
 private val large = OrganisationName("large")
 private val small = OrganisationName("small")
 
-/** A lane with one target of a given occupancy, where [large] has had more than its share and others lack capacity. */
-private class LaneFixture {
+/** A lane with one target, where [large] has had more than its share; others lack capacity if [short] is set. */
+private class LaneFixture(short: Boolean = true) {
     val lane = AdmissionLane(Random(1))
     var occupancy = 2.0
 
@@ -21,7 +21,7 @@
             lane.demand.shares.recordRequest(if (it % 2 == 0) large else small, START)
             lane.demand.recordResult(SendResult.SENT, Request(large, CallerAttempt.First).admission, START)
         }
-        recordShortages()
+        if (short) recordShortages()
     }
 
     /** Records shortages until the limit of [large] is at its lowest. */
@@ -86,4 +86,20 @@
             requests.sumOf { it.attempts } - before shouldBe 2
         }
     }
+
+    describe("a request that looks repeated too soon while no shortage is known") {
+        val fixture = LaneFixture(short = false)
+        val request = fixture.waiting(small, CallerAttempt.Premature(100.milliseconds))
+        val waitedOnArrival = fixture.lane.waiting
+        fixture.occupancy = 1.0
+        fixture.lane.wake(LaneFixture.START)
+
+        it("waits (guards against a first attempt rejected because its connection was accepted late)") {
+            waitedOnArrival shouldBe 1
+        }
+
+        it("is sent when capacity becomes free (guards against a limit that keeps late callers out)") {
+            request.sent shouldBe true
+        }
+    }
 })
