Give the types of three files of the fleet module files of their own

AdmissionRequest.kt, ColdStartProfile.kt and CandidateLoad.kt held further types that a reader looks for under their own names. SendResult, RejectionReason, AdmissionRejection, PendingRequest, RateLimit, ColdAllowance and SlotWait move to files of their own.

--- a/fleet/src/main/kotlin/boragering/fleet/ColdStartProfile.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ColdStartProfile.kt
@@ -9,38 +9,3 @@
  * @property requestsPerSecond requests per second that a cold instance sustains.
  */
 data class ColdStartProfile(val duration: Duration, val requestsPerSecond: Double)
-
-/**
- * A limit for the requests that all gateways together send to one target.
- *
- * @property perSecond requests per second.
- * @property maxHolders number of gateways that may share the limit. Each of them may send one request at any time, so
- * the target can get [perSecond] + [maxHolders] requests within one second.
- */
-data class RateLimit(val perSecond: Double, val maxHolders: Int) {
-    /** The stricter one of this limit and [other]. */
-    fun and(other: RateLimit?): RateLimit =
-        if (other == null) this else RateLimit(minOf(perSecond, other.perSecond), minOf(maxHolders, other.maxHolders))
-}
-
-/**
- * The number of requests that a cold instance may get within one second: [overrun] times the rate that it sustains and
- * [slack] more.
- */
-data class ColdAllowance(val overrun: Double, val slack: Double) {
-    /**
-     * Returns the limit that keeps within the allowance for an instance that sustains [sustained] requests per second,
-     * also while some gateways that have just started or are partitioned count themselves as holders by mistake.
-     */
-    fun limit(sustained: Double): RateLimit {
-        val allowed = sustained * overrun + slack
-        val burst = (allowed - sustained).coerceAtLeast(0.0)
-        val holders = (burst * HOLDERS_OF_BURST).toInt().coerceAtLeast(1)
-        return RateLimit(minOf(sustained, allowed - holders).coerceAtLeast(0.0), holders)
-    }
-
-    private companion object {
-        /** Part of the burst for the known holders; the rest is for gateways with another view of the membership. */
-        const val HOLDERS_OF_BURST = 0.6
-    }
-}
--- /dev/null
+++ b/fleet/src/main/kotlin/boragering/fleet/RejectionReason.kt
@@ -0,0 +1,13 @@
+package boragering.fleet
+
+/** Why a request is not admitted. */
+enum class RejectionReason(val text: String) {
+    /** The wait would be longer than the request may wait. */
+    LONG_WAIT("all targets are full, and too many requests wait"),
+
+    /** The request has waited as long as it may. */
+    WAITED("all targets are full, and no capacity became free in time"),
+
+    /** The caller has repeated its request sooner than any gateway can have told it to. */
+    PREMATURE("all targets are full, and the request was repeated too soon"),
+}
