Use one exponential decay in the fleet module

DecayingCount, LoadEstimate, ModelDemand and TargetPace each had the formula. It is now the type ExponentialDecay. DecayingCount itself does not fit the last three: TargetPace decays three sums in steps of 100 ms, because a decay for each event would cost three exponentials; ModelDemand is a moving average and LoadEstimate weighs single reports. No behaviour changes; the tests of the module pass.

--- a/fleet/src/main/kotlin/boragering/fleet/DecayingCount.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/DecayingCount.kt
@@ -1,6 +1,5 @@
 package boragering.fleet
 
-import kotlin.math.exp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -9,6 +8,7 @@
  * clock. Not thread-safe.
  */
 internal class DecayingCount(private val memory: Duration) {
+    private val decay = ExponentialDecay(memory)
     private var count = 0.0
     private var at = Duration.ZERO
 
@@ -19,7 +19,7 @@
     }
 
     /** The count at [now]. */
-    fun value(now: Duration): Double = count * exp(-((now - at) / memory).coerceAtLeast(0.0))
+    fun value(now: Duration): Double = count * decay.weight(now - at)
 
     /** The number of events per second at [now], if they arrive evenly. */
     fun perSecond(now: Duration): Double = value(now) / (memory / 1.seconds)
--- a/fleet/src/main/kotlin/boragering/fleet/LoadEstimate.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/LoadEstimate.kt
@@ -1,6 +1,5 @@
 package boragering.fleet
 
-import kotlin.math.exp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -46,11 +45,11 @@
     /** Expected number of requests in progress at [candidate] for each of its slots. */
     fun occupancy(candidate: Candidate): Double = requests(candidate) / candidate.target.slots.coerceAtLeast(1)
 
-    private fun weight(report: LoadReport): Double = exp(-((now - report.at) / REPORT_MEMORY).coerceAtLeast(0.0))
+    private fun weight(report: LoadReport): Double = REPORT_DECAY.weight(now - report.at)
 
     private companion object {
         /** Age at which a report has lost all but 1/e of its weight; about the duration of a request. */
-        val REPORT_MEMORY = 1.seconds
+        val REPORT_DECAY = ExponentialDecay(memory = 1.seconds)
 
         /** Weight, in fresh reports, of the expectation that all gateways have as many requests as this one. */
         const val EXPECTATION_WEIGHT = 0.5
--- a/fleet/src/main/kotlin/boragering/fleet/ModelDemand.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ModelDemand.kt
@@ -1,6 +1,5 @@
 package boragering.fleet
 
-import kotlin.math.exp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -23,7 +22,7 @@
     /** Records the numbers of [requests] that are in progress at the groups of each model at [now]. */
     fun record(engine: EngineProfile, requests: Map<ModelName, Double>, now: Duration) {
         if (requests.values.sum() < MIN_REQUESTS) return
-        val weight = if (firstAt == null) 1.0 else 1 - exp(-((now - lastAt) / SMOOTHING_TIME))
+        val weight = if (firstAt == null) 1.0 else 1 - SMOOTHING.weight(now - lastAt)
         if (firstAt == null) firstAt = now
         lastAt = now
         instances.keys.retainAll(engine.models.keys)
@@ -59,7 +58,7 @@
 
     private companion object {
         /** Time constant of the estimate: several regroupings long, shorter than most changes of the demand. */
-        val SMOOTHING_TIME = 8.seconds
+        val SMOOTHING = ExponentialDecay(memory = 8.seconds)
 
         /** Time for which a gateway observes the demand before it trusts its estimate. */
         val LEARNING_TIME = 4.seconds
--- a/fleet/src/main/kotlin/boragering/fleet/TargetPace.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/TargetPace.kt
@@ -1,6 +1,5 @@
 package boragering.fleet
 
-import kotlin.math.exp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -57,7 +56,7 @@
     }
 
     private fun decay(now: Duration) {
-        val weight = exp(-((now - decayedAt) / GAP_MEMORY))
+        val weight = GAP_DECAY.weight(now - decayedAt)
         seconds *= weight
         squaredSeconds *= weight
         gaps *= weight
@@ -68,7 +67,7 @@
         val DECAY_STEP = 100.milliseconds
 
         /** Age at which a gap has lost all but 1/e of its weight. */
-        val GAP_MEMORY = 1.seconds
+        val GAP_DECAY = ExponentialDecay(memory = 1.seconds)
 
         /** Fewer gaps may be one pause of one stream. A slow target has few events: two streams have five a second. */
         const val MIN_GAPS = 2.0
