Simulate callers that arrive late, and state what they get

The tests at 1, 6 and 40 gateways require that late callers are served at least 0.9 times as often as others in each load.

--- a/fleet/src/test/kotlin/boragering/fleet/AdmissionDay.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/AdmissionDay.kt
@@ -31,12 +31,14 @@
  * @property kindFactor how much more than usual the least urgent kind is asked for.
  * @property organisationFactor how much more than usual the first organisation asks for.
  * @property repeaters fraction of the callers that repeat at once instead of when they are told.
+ * @property late fraction of the callers whose first attempt arrives up to 0.6 s late because of the network.
  * @property shared whether capacity is shared by urgency; otherwise callers are refused with a random retry time.
  */
 internal data class AdmissionLoad(
     val kindFactor: Double = 1.0,
     val organisationFactor: Double = 1.0,
     val repeaters: Double = 0.0,
+    val late: Double = 0.0,
     val shared: Boolean = true,
 ) {
     val kinds = listOf(
@@ -78,12 +80,18 @@
         }
     }
 
-    inner class Caller(val kind: UrgentKind, val organisation: OrganisationName, val repeats: Boolean) {
+    inner class Caller(val kind: UrgentKind, val organisation: OrganisationName) {
         val startedAt = now
+        val repeats = random.nextDouble() < load.repeaters
+
+        /** Whether the first attempt arrives late. Without such callers nothing is drawn, so days stay comparable. */
+        val late = load.late > 0 && random.nextDouble() < load.late
         val request = EmulatedRequest(random.nextInt(900, 2_000), random.nextInt(40, 200), kind.urgency)
         private var attempts = 0
         var onTime = false
 
+        fun start() = if (late) due += now + LONGEST_DELAY * random.nextDouble() to this else arrive()
+
         fun arrive() {
             attempts += 1
             nodes[random.nextInt(nodes.size)].receive(this)
@@ -199,8 +207,7 @@
             val factor = if (surge && index == 0) load.organisationFactor else 1.0
             val perSecond = kind.perSecond * weight / WEIGHTS.sum() * factor
             if (random.nextDouble() >= perSecond * (STEP / 1.seconds)) return@forEachIndexed
-            val repeats = random.nextDouble() < load.repeaters
-            Caller(kind, OrganisationName("o$index"), repeats).also(callers::add).arrive()
+            Caller(kind, OrganisationName("o$index")).also(callers::add).start()
         }
     }
 
@@ -221,6 +228,7 @@
         private val LENGTH = 24.seconds
         private val SURGE_START = 6.seconds
         private val PATIENCE = 8.seconds
+        private val LONGEST_DELAY = 600.milliseconds
         private val REPEAT_TIME = 60.milliseconds
         private const val MAX_REPEATS = 4
         private const val GROUPS = 3
--- a/fleet/src/test/kotlin/boragering/fleet/AdmissionDayTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/AdmissionDayTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.doubles.shouldBeGreaterThan
+import io.kotest.matchers.doubles.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.doubles.shouldBeLessThan
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import kotlin.time.Duration.Companion.milliseconds
@@ -61,5 +62,22 @@
                 days.served { it.repeats } shouldBeLessThan days.served { !it.repeats } * 1.05
             }
         }
+
+        describe("callers that arrive late, at $gateways gateways") {
+            val loads = listOf(
+                AdmissionLoad(late = 0.3),
+                AdmissionLoad(kindFactor = 2.6, late = 0.3),
+                AdmissionLoad(organisationFactor = 7.5, late = 0.3),
+                AdmissionLoad(kindFactor = 2.6, repeaters = 0.3, late = 0.3),
+            )
+
+            it("are served nearly as often as others (guards against a late connection taken for a repetition)") {
+                val relative = loads.map { load ->
+                    val days = AdmissionDay.play(load, gateways)
+                    days.served { it.late && !it.repeats } / days.served { !it.late && !it.repeats }
+                }
+                relative.min() shouldBeGreaterThanOrEqual 0.9
+            }
+        }
     }
 })
