--- a/fleet/src/main/kotlin/boragering/fleet/AdmissionLane.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/AdmissionLane.kt
@@ -24,7 +24,7 @@
         val admission = request.admission
         if (admission.caller == CallerAttempt.First) demand.shares.recordRequest(admission.organisation, now)
         when {
-            admission.caller is CallerAttempt.Premature -> offerPremature(request, now)
+            rejectedOnArrival(admission, now) -> reject(request, RejectionReason.PREMATURE, now)
             queue.size == 0 -> if (send(request, now) == SendResult.FULL) enqueue(request, now)
             else -> {
                 enqueue(request, now)
@@ -44,9 +44,7 @@
         waking = true
         try {
             rejectExpired(now)
-            do {
-                val next = queue.next(now)
-            } while (next != null && sendWaiting(next, now))
+            sendWhileCapacity(now)
         } finally {
             waking = false
         }
@@ -57,6 +55,19 @@
         reject(it, RejectionReason.WAITED, now)
     }
 
+    /**
+     * Sends waiting requests in their order. One that finds no capacity at its limit does not hold up later ones with a
+     * higher limit; those with the same or a lower one are not tried, since each attempt costs a choice of a target.
+     */
+    private fun sendWhileCapacity(now: Duration) {
+        var fullUpTo = Double.NEGATIVE_INFINITY
+        while (true) {
+            val next = queue.next(now) { demand.occupancyLimit(it, now) > fullUpTo } ?: return
+            val limit = demand.occupancyLimit(next.admission, now)
+            if (!sendWaiting(next, now)) fullUpTo = limit
+        }
+    }
+
     private fun sendWaiting(request: PendingRequest, now: Duration): Boolean {
         val result = send(request, now)
         if (result == SendResult.FULL) return false
@@ -68,11 +79,9 @@
     private fun send(request: PendingRequest, now: Duration): SendResult =
         request.trySend().also { demand.recordResult(it, request.admission, now) }
 
-    private fun offerPremature(request: PendingRequest, now: Duration) {
-        if (queue.size > 0 || demand.headroom.short(now) || send(request, now) == SendResult.FULL) {
-            reject(request, RejectionReason.PREMATURE, now)
-        }
-    }
+    /** Where capacity is short, a caller that repeats at once would otherwise gain from each of its attempts. */
+    private fun rejectedOnArrival(admission: AdmissionRequest, now: Duration): Boolean =
+        admission.caller is CallerAttempt.Premature && (queue.size > 0 || demand.headroom.short(now))
 
     private fun enqueue(request: PendingRequest, now: Duration) {
         val position = queue.ahead(request.admission, now)
