--- a/core/src/main/kotlin/boragering/core/catalogue/JsonLineIndex.kt
+++ b/core/src/main/kotlin/boragering/core/catalogue/JsonLineIndex.kt
@@ -4,7 +4,7 @@
  * Finds the line of each value in a JSON text that a parser has accepted, and the keys that appear more than once in
  * the same object, which the parser does not report. Paths have the form `entries[2].limits`.
  */
-internal class JsonLineIndex(private val text: String) {
+class JsonLineIndex(private val text: String) {
     private val lineByPath = HashMap<String, Int>()
     private val duplicates = ArrayList<String>()
     private val containers = ArrayDeque<Container>()
