Add the command 'boragerctl configuration check'

Operators had no way to examine the users' platform's configuration before they write it to the store.

--- a/client/src/main/kotlin/boragering/client/CatalogueCommands.kt
+++ b/client/src/main/kotlin/boragering/client/CatalogueCommands.kt
@@ -24,7 +24,7 @@
     return Result(exitCode, text, Answers.text(ValidateAnswer.serializer(), answer))
 }
 
-private fun line(file: String, finding: Finding): String {
+internal fun line(file: String, finding: Finding): String {
     val place = listOfNotNull(file, finding.line?.toString()).joinToString(":")
     val subject = finding.path.ifEmpty { "the document" }
     return "$place: $subject ${finding.message}" + finding.expected?.let { "; expected $it" }.orEmpty()
--- a/client/src/main/kotlin/boragering/client/Command.kt
+++ b/client/src/main/kotlin/boragering/client/Command.kt
@@ -74,9 +74,15 @@
 internal fun Raise<CommandFailure>.duration(option: String, text: String): Duration =
     UnitFormat.duration(text).fold({ raise(usage("$option $text is not $it")) }, { it })
 
-internal fun Raise<CommandFailure>.readFile(name: String): String =
+internal fun Raise<CommandFailure>.readFile(name: String): String = read(name) { Files.readString(it) }
+
+/** Returns the content of the file, and of a larger one the first [limit] + 1 bytes, by which it can be rejected. */
+internal fun Raise<CommandFailure>.readBytes(name: String, limit: Int): ByteArray =
+    read(name) { path -> Files.newInputStream(path).use { it.readNBytes(limit + 1) } }
+
+private fun <T> Raise<CommandFailure>.read(name: String, read: (Path) -> T): T =
     try {
-        Files.readString(Path.of(name))
+        read(Path.of(name))
     } catch (exception: IOException) {
         raise(usage("$name cannot be read: ${exception.javaClass.simpleName} ${exception.message}"))
     } catch (exception: InvalidPathException) {
--- a/client/src/main/kotlin/boragering/client/Program.kt
+++ b/client/src/main/kotlin/boragering/client/Program.kt
@@ -15,6 +15,7 @@
         "catalogue diff" to ::DiffCommand,
         "catalogue apply" to ::ApplyCommand,
         "catalogue history" to ::HistoryCommand,
+        "configuration check" to ::ConfigurationCheckCommand,
         "status" to ::StatusCommand,
         "groups" to ::GroupsCommand,
         "requests" to ::RequestsCommand,
--- a/client/src/test/kotlin/boragering/client/ProgramTest.kt
+++ b/client/src/test/kotlin/boragering/client/ProgramTest.kt
@@ -76,7 +76,7 @@
             val help = boragerctl("--help")
             help.exitCode shouldBe ExitCode.SUCCESS
             val commands = help.out.lines().filter { it.startsWith("  ") && it[2].isLetter() }
-            commands.size shouldBe 9
+            commands.size shouldBe 10
             commands.map { it.trim().substringBefore("  ") }.forEach { command ->
                 val run = boragerctl(*command.split(' ').toTypedArray(), "--help")
                 run.exitCode shouldBe ExitCode.SUCCESS
