Take callers for new ones where their times left differ

Cause: a gateway takes a caller with less time left than the highest recent value for one that has tried before. Callers of one route were assumed to start alike.

Change: a gateway counts how many requests have about the highest time left. If fewer than a fifth do, the callers of the route do not start alike, and all of them count as new ones.

--- a/fleet/src/main/kotlin/boragering/fleet/CallerReturns.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/CallerReturns.kt
@@ -23,36 +23,62 @@
 
 /**
  * Recognises callers that come back: they have less time left than the highest value that was recently seen on their
- * route. A gateway cannot know this otherwise, because callers return to any gateway. Not thread-safe.
+ * route. A gateway cannot know this otherwise, because callers return to any gateway.
+ *
+ * This requires that the callers of a route start with the same time left. Where they do not, few requests have about
+ * the highest value, and all callers count as new ones. Not thread-safe.
  */
 class CallerReturns {
-    private val routes = RecentMap<String, RecentMaximum>(MAX_ROUTES)
+    private val routes = RecentMap<String, RouteCallers>(MAX_ROUTES)
 
     /** Classifies a request on [route] whose caller had [timeLeft] at [now], a time of the monotonic clock. */
     fun classify(route: Route, timeLeft: Duration, now: Duration): CallerAttempt {
-        val highest = routes.getOrPut(route.name) { RecentMaximum(now) }.add(timeLeft, now)
+        val callers = routes.getOrPut(route.name) { RouteCallers(now) }
+        val highest = callers.add(timeLeft, now)
         val elapsed = highest - timeLeft
         return when {
-            elapsed < NOISE -> CallerAttempt.First
+            elapsed < NOISE || !callers.startAlike(now) -> CallerAttempt.First
             elapsed < ReturnTimes.earliestReturn(route.targetLatency, highest) - TRANSIT_TOLERANCE ->
                 CallerAttempt.Premature(elapsed)
             else -> CallerAttempt.Returned(elapsed)
         }
     }
 
+    /** The times that the callers of one route had left. */
+    private class RouteCallers(now: Duration) {
+        private val maximum = RecentMaximum(now)
+        private val all = DecayingCount(WINDOW)
+        private val atHighest = DecayingCount(WINDOW)
+
+        /** Adds [timeLeft] and returns the highest recent value. */
+        fun add(timeLeft: Duration, now: Duration): Duration {
+            all.add(now)
+            if ((timeLeft - maximum.value).absoluteValue < NOISE) atHighest.add(now)
+            return maximum.add(timeLeft, now)
+        }
+
+        /** Whether first attempts have about the same time left, so that less of it shows an earlier attempt. */
+        fun startAlike(now: Duration): Boolean {
+            val count = all.value(now)
+            return count >= FEWEST_CALLERS && atHighest.value(now) >= count * LOWEST_SHARE_AT_HIGHEST
+        }
+    }
+
     /** The maximum over the current window and the one before it. */
     private class RecentMaximum(private var windowStart: Duration) {
         private var current = Duration.ZERO
         private var previous = Duration.ZERO
 
-        fun add(value: Duration, now: Duration): Duration {
+        val value: Duration get() = maxOf(current, previous)
+
+        fun add(time: Duration, now: Duration): Duration {
             if (now - windowStart >= WINDOW) {
                 previous = if (now - windowStart < WINDOW * 2) current else Duration.ZERO
                 current = Duration.ZERO
                 windowStart = now
             }
-            current = maxOf(current, value)
-            return maxOf(current, previous)
+            current = maxOf(current, time)
+            return value
         }
     }
 
@@ -68,5 +94,14 @@
          * route whose timeout is a little shorter than the time that callers wait.
          */
         val TRANSIT_TOLERANCE = 80.milliseconds
+
+        /** Requests below which the times left do not tell whether callers start alike. */
+        const val FEWEST_CALLERS = 3.0
+
+        /**
+         * Part of the requests that have about the highest time left where callers start alike, even if most of them
+         * return several times.
+         */
+        const val LOWEST_SHARE_AT_HIGHEST = 0.2
     }
 }
--- a/fleet/src/test/kotlin/boragering/fleet/AdmissionDay.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/AdmissionDay.kt
@@ -31,6 +31,7 @@
  * @property kindFactor how much more than usual the least urgent kind is asked for.
  * @property organisationFactor how much more than usual the first organisation asks for.
  * @property repeaters fraction of the callers that repeat at once instead of when they are told.
+ * @property patienceSpread by which part of the usual time callers may wait less for an answer, each by another one.
  * @property late fraction of the callers whose first attempt arrives up to 0.6 s late because of the network.
  * @property shared whether capacity is shared by urgency; otherwise callers are refused with a random retry time.
  */
@@ -39,6 +40,7 @@
     val organisationFactor: Double = 1.0,
     val repeaters: Double = 0.0,
     val late: Double = 0.0,
+    val patienceSpread: Double = 0.0,
     val shared: Boolean = true,
 ) {
     val kinds = listOf(
@@ -87,6 +89,10 @@
         /** Whether the first attempt arrives late. Without such callers nothing is drawn, so days stay comparable. */
         val late = load.late > 0 && random.nextDouble() < load.late
         val request = EmulatedRequest(random.nextInt(900, 2_000), random.nextInt(40, 200), kind.urgency)
+
+        /** Time for which the caller waits for an answer. Nothing is drawn if all callers wait equally long. */
+        val patience =
+            PATIENCE * (1 - if (load.patienceSpread > 0) load.patienceSpread * random.nextDouble() else 0.0)
         private var attempts = 0
         var onTime = false
 
@@ -113,7 +119,7 @@
         var capacityChanged = false
 
         fun receive(caller: Caller) {
-            val left = PATIENCE - (now - caller.startedAt)
+            val left = caller.patience - (now - caller.startedAt)
             val attempt = Attempt(caller, returns.classify(caller.kind.route, left, now))
             when {
                 load.shared -> lane.offer(attempt, now)
@@ -129,7 +135,7 @@
                 caller.kind.urgency,
                 caller.kind.targetLatency,
                 now,
-                caller.startedAt + PATIENCE,
+                caller.startedAt + caller.patience,
                 attempt,
             )
 
--- a/fleet/src/test/kotlin/boragering/fleet/AdmissionDayTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/AdmissionDayTest.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.doubles.shouldBeLessThan
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private fun List<AdmissionDay>.served(select: (AdmissionDay.Caller) -> Boolean = { true }) =
     sumOf { it.tally(select).servedShare } / size
@@ -63,6 +64,15 @@
             }
         }
 
+        describe("callers that wait for 6.8 to 8 s, at $gateways gateways") {
+            val days = AdmissionDay.play(AdmissionLoad(patienceSpread = 0.15), gateways)
+
+            it("are answered on time alike (guards against first attempts taken for repetitions)") {
+                val impatient = days.onTime { it.patience < 7.4.seconds }
+                days.onTime { it.patience >= 7.4.seconds } shouldBeGreaterThan impatient * 0.9
+            }
+        }
+
         describe("callers that arrive late, at $gateways gateways") {
             val loads = listOf(
                 AdmissionLoad(late = 0.3),
