Keep what is known of a service's requests when the service is configured

UnservedDemandTest failed once: the shares stayed at one half for 8 s. The first observation after a service was configured dropped the counts of its requests, and with them the duration of a request that had been answered before, so that no demand was known for the model without a group. The order of two lines was wrong; the test passes now, and it failed or passed before depending on whether the answer came before the first observation.

--- a/gateway/src/main/kotlin/boragering/gateway/DemandObserver.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DemandObserver.kt
@@ -50,8 +50,9 @@
     fun observe() {
         val now = state.now()
         val services = state.routes?.services.orEmpty()
-        demands.keys.retainAll(services.mapTo(HashSet()) { it.name })
-        traffic.keys.retainAll { it.service in demands }
+        val names = services.mapTo(HashSet()) { it.name }
+        demands.keys.retainAll(names)
+        traffic.keys.retainAll { it.service in names }
         services.forEach { service ->
             val engine = service.engine?.takeIf { it.models.size > 1 } ?: return@forEach
             demands.getOrPut(service.name) { ModelDemand() }.record(engine, loads(service.name, engine, now), now)
