Let the settings decide whether load decides about leaving the zone

The decision by load and delays was on wherever an engine states delays. It stays for deployments that ask for it by the key ZoneSpillover; without the key the fixed cost holds, as before.

--- a/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayState.kt
@@ -24,6 +24,7 @@
  * @property connectTimeout time after which an attempt to connect to a target counts as failed.
  * @property maxCallers limit for connections of callers; above it, one connection is closed for each new one.
  * @property coldAllowance requests that a cold instance may get within one second.
+ * @property zoneSpillover whether load and delays decide how many requests leave the zone, instead of a fixed cost.
  * @property bodyMemory memory for the bodies of all requests and responses in progress, in bytes.
  */
 data class GatewaySettings(
@@ -33,6 +34,7 @@
     val connectTimeout: Duration = 400.milliseconds,
     val maxCallers: Int = DEFAULT_MAX_CALLERS,
     val coldAllowance: ColdAllowance = ColdAllowance(overrun = 1.0, slack = 0.0),
+    val zoneSpillover: Boolean = false,
     val bodyMemory: Long = Runtime.getRuntime().maxMemory() / HEAP_SHARE_FOR_BODIES,
 ) {
     private companion object {
@@ -84,7 +86,7 @@
     val coldTargets = ColdTargets(settings, ports)
     val usages = TargetUsages(pools, responseIdentity(headerNames), ports, coldTargets)
     val targetChoice = TargetChoice(settings.availabilityZone, ports.random)
-    val spillovers = ZoneSpillovers(settings.availabilityZone, ports)
+    val spillovers = ZoneSpillovers(settings, ports)
     val paceMonitor = PaceMonitor(this)
     val exchanges = LinkedHashSet<Exchange>()
     val promptGuard = PromptGuard(ports)
--- a/gateway/src/main/kotlin/boragering/gateway/ZoneSpillovers.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ZoneSpillovers.kt
@@ -1,6 +1,5 @@
 package boragering.gateway
 
-import boragering.core.AvailabilityZone
 import boragering.fleet.ModelName
 import boragering.fleet.ServiceName
 import boragering.fleet.Target
@@ -10,10 +9,12 @@
 import kotlin.time.Duration
 
 /**
- * For each service and model, the fraction of this gateway's requests that may leave the availability zone [own]. Used
- * on the event loop only.
+ * For each service and model, the fraction of this gateway's requests that may leave the availability zone, if the
+ * [settings] ask for it. Used on the event loop only.
  */
-internal class ZoneSpillovers(private val own: AvailabilityZone, private val ports: GatewayPorts) {
+internal class ZoneSpillovers(private val settings: GatewaySettings, private val ports: GatewayPorts) {
+    private val own get() = settings.availabilityZone
+
     private data class Key(val service: ServiceName, val model: ModelName?)
 
     private class Entry {
@@ -27,7 +28,8 @@
 
     /** What decides whether [routed] leaves the zone; `null` if the fixed cost of leaving applies. */
     fun terms(routed: RoutedRequest): ZoneTerms? {
-        val engine = routed.service.engine?.takeIf { routed.model == null || routed.model in it.models }
+        val engine = routed.service.engine
+            ?.takeIf { settings.zoneSpillover && (routed.model == null || routed.model in it.models) }
         val delays = engine?.delays?.takeIf { it.isSignificant(own, routed.route.targetLatency) }
         return delays?.let { ZoneTerms(it, entry(routed).spillover) }
     }
