Judge the callers of a route anew when one has more time left than all others

One request with more time left than all others made those that follow look like repetitions for some 15 s, since the count of callers that had had the former highest value stayed. Found by the review before the landing. The counts start again at a higher value; the new case of CallerReturnsTest covers it.

--- a/fleet/src/main/kotlin/boragering/fleet/CallerReturns.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/CallerReturns.kt
@@ -47,16 +47,23 @@
     /** The times that the callers of one route had left. */
     private class RouteCallers(now: Duration) {
         private val maximum = RecentMaximum(now)
-        private val all = DecayingCount(WINDOW)
-        private val atHighest = DecayingCount(WINDOW)
+        private var all = DecayingCount(WINDOW)
+        private var atHighest = DecayingCount(WINDOW)
 
         /** Adds [timeLeft] and returns the highest recent value. */
         fun add(timeLeft: Duration, now: Duration): Duration {
+            // A higher value makes those before it look like repetitions, until others have it as well.
+            if (timeLeft > maximum.value + NOISE) restart()
             all.add(now)
             if ((timeLeft - maximum.value).absoluteValue < NOISE) atHighest.add(now)
             return maximum.add(timeLeft, now)
         }
 
+        private fun restart() {
+            all = DecayingCount(WINDOW)
+            atHighest = DecayingCount(WINDOW)
+        }
+
         /** Whether first attempts have about the same time left, so that less of it shows an earlier attempt. */
         fun startAlike(now: Duration): Boolean {
             val count = all.value(now)
--- a/fleet/src/test/kotlin/boragering/fleet/CallerReturnsTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/CallerReturnsTest.kt
@@ -37,6 +37,11 @@
         }
     }
 
+    it("does not judge callers by one that waits for longer (guards against a caller that disturbs a whole route)") {
+        val starts = List(10) { 6.seconds }
+        CallerReturns().classify(starts + 8.seconds + starts).shouldContainOnly(CallerAttempt.First)
+    }
+
     describe("callers that start with different times left") {
         val random = Random(1)
         val starts = List(100) { 8.seconds - 1.2.seconds * random.nextDouble() }
