Count only first choices without capacity as unserved demand

Found by the review before the landing: a request whose connection to its target had failed counted as sent and as unserved, callers that look repeated too soon counted when they had waited, one rejection among three requests made a model short for 10 s, and counts of models that were removed from a service stayed. Two rejections are needed now; the case of ModelTrafficTest for few requests has six instead of one.

--- a/fleet/src/main/kotlin/boragering/fleet/ModelTraffic.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ModelTraffic.kt
@@ -27,7 +27,7 @@
     /** The fraction of requests that were rejected; 0 while there are too few requests to tell. */
     fun unservedShare(now: Duration): Double {
         val all = sent.value(now) + unserved.value(now)
-        return if (all < FEWEST_REQUESTS) 0.0 else unserved.value(now) / all
+        return if (all < FEWEST_REQUESTS || unserved.value(now) < FEWEST_UNSERVED) 0.0 else unserved.value(now) / all
     }
 
     /**
@@ -46,5 +46,8 @@
         /** Weight of one answer in the mean duration. */
         const val DURATION_WEIGHT = 0.05
         const val FEWEST_REQUESTS = 3.0
+
+        /** A gateway with few requests would otherwise take one rejection for a shortage. */
+        const val FEWEST_UNSERVED = 1.5
     }
 }
--- a/fleet/src/test/kotlin/boragering/fleet/ModelTrafficTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/ModelTrafficTest.kt
@@ -18,6 +18,7 @@
 
     it("does not tell it from few requests (guards against regroupings for one caller)") {
         val traffic = ModelTraffic()
+        repeat(5) { traffic.recordSent(now) }
         traffic.recordUnserved(now)
         traffic.unservedShare(now) shouldBe 0.0
     }
--- a/gateway/src/main/kotlin/boragering/gateway/AttemptDispatcher.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/AttemptDispatcher.kt
@@ -33,6 +33,9 @@
 
     private var earlierMayHaveRun = false
 
+    /** Whether no target has been chosen for the request. */
+    val untried: Boolean get() = sendCount == 0 && failedConnects == 0
+
     /** Whether a target may have run the request. */
     val mayHaveRun: Boolean get() = earlierMayHaveRun || callHandle?.sent == true
 
@@ -132,6 +135,7 @@
     private fun send(chosen: Choice.Chosen, lastEventId: Long?) {
         val target = chosen.candidate.target
         val usage = state.usages.of(target)
+        val first = untried
         val request = TargetAttempt.request(routed, target, state.headerNames, lastEventId, state.now())
         val next = TargetAttempt(target, usage, request, routed, state, listener)
         triedTargets += target.head
@@ -139,7 +143,7 @@
         attempt = next
         usage.onRequestStart(next.startedAt)
         state.spillovers.onSend(routed, target, next.startedAt)
-        if (sendCount == 1 && failedConnects == 0) state.demand.onSent(routed)
+        if (first) state.demand.onSent(routed)
         log.requestSent(chosen, sendCount)
         val started = usage.pool.send(next, routed.service.connectionLimit(state.ports.gatewayCount()))
         if (attempt === next) callHandle = started
--- a/gateway/src/main/kotlin/boragering/gateway/DemandObserver.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DemandObserver.kt
@@ -50,9 +50,9 @@
     fun observe() {
         val now = state.now()
         val services = state.routes?.services.orEmpty()
-        val names = services.mapTo(HashSet()) { it.name }
-        demands.keys.retainAll(names)
-        traffic.keys.retainAll { it.service in names }
+        val models = services.associate { it.name to it.engine?.models.orEmpty() }
+        demands.keys.retainAll { models[it].orEmpty().size > 1 }
+        traffic.keys.retainAll { it.model in models[it.service].orEmpty() }
         services.forEach { service ->
             val engine = service.engine?.takeIf { it.models.size > 1 } ?: return@forEach
             demands.getOrPut(service.name) { ModelDemand() }.record(engine, loads(service.name, engine, now), now)
--- a/gateway/src/main/kotlin/boragering/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/Exchange.kt
@@ -1,8 +1,8 @@
 package boragering.gateway
 
 import boragering.fleet.AdmissionRejection
+import boragering.fleet.CallerAttempt
 import boragering.fleet.Choice
-import boragering.fleet.RejectionReason
 import boragering.fleet.ReturnTimes
 import kotlin.time.Duration
 
@@ -103,7 +103,7 @@
     }
 
     private fun fail(reason: String) {
-        if (dispatcher.sendCount == 0) state.demand.onUnserved(routed)
+        if (dispatcher.untried) state.demand.onUnserved(routed)
         // A caller that comes back before this time counts as one that repeats too soon.
         val admissionTime = admission?.let { ReturnTimes.longestWait(routed.route.targetLatency) }
         val waitTime = listOfNotNull(dispatcher.waitTime, admissionTime).maxOrNull()
@@ -127,7 +127,7 @@
 
         override fun onRejected(rejection: AdmissionRejection) {
             // A caller that has repeated too soon counts with its first attempt.
-            if (rejection.reason != RejectionReason.PREMATURE) state.demand.onUnserved(routed)
+            if (admission?.admission?.caller !is CallerAttempt.Premature) state.demand.onUnserved(routed)
             val retryAfter = maxOf(rejection.retryAfter, dispatcher.waitTime ?: Duration.ZERO)
             finish(progress.refuseUnsent(rejection.reason.text, retryAfter))
         }
