--- a/fleet/src/main/kotlin/boragering/fleet/ConfigurationFinding.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ConfigurationFinding.kt
@@ -49,6 +49,10 @@
     GROUP_SIZE,
     SHARE,
     KEYS,
+    CONNECTIONS,
+    SLOTS,
+    HEADER_BYTES,
+    BODY_BYTES,
     HEADER_TIMEOUT,
     IDLE_TIMEOUT,
 }
--- a/fleet/src/main/kotlin/boragering/fleet/ContradictingLimitCheck.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ContradictingLimitCheck.kt
@@ -27,13 +27,14 @@
         val part = ConfigurationPart.OfRoute(position)
         val route = stated.route
         val limit = "at most ${route.timeout}"
-        val rerun = "is above 1, although requests of this kind must not run twice"
+        val rerun = "is above 1: requests of this kind are sent again only if a target says that it has not run them"
         return listOfNotNull(
             warning(part, TARGET_LATENCY, "is above the route's timeout", limit)
                 .takeIf { above(route.targetLatency, route) },
             warning(part, TARGET_GAP, "is above the route's timeout", limit)
                 .takeIf { route.targetGap != null && above(route.targetGap, route) },
-            warning(part, ATTEMPTS, rerun, "1").takeIf { stated.attempts > 1 && !route.repeatability.repeatable },
+            ConfigurationFinding(Severity.NOTICE, part, ATTEMPTS, rerun)
+                .takeIf { stated.attempts > 1 && !route.repeatability.repeatable },
         )
     }
 
@@ -67,7 +68,7 @@
         warning(
             ConfigurationPart.Limits,
             HEADER_TIMEOUT,
-            "is above the idle timeout, which ends the connection first",
+            "is above the idle timeout: a header may take longer than a connection may be idle",
             "at most ${limits.idleTimeout}",
         ).takeIf { limits.headerTimeout > limits.idleTimeout },
     )
--- a/fleet/src/main/kotlin/boragering/fleet/ValueCheck.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ValueCheck.kt
@@ -14,6 +14,7 @@
     fun findings(stated: StatedConfiguration): List<ConfigurationFinding> =
         stated.routes.flatMapIndexed { position, route -> route(position, route) + weights(position, route.route) } +
             stated.services.flatMapIndexed { position, service -> shares(position, service) } +
+            stated.services.flatMapIndexed { position, service -> counts(position, service) } +
             limits(stated.configuration.limits)
 
     private fun route(position: Int, stated: StatedRoute): List<ConfigurationFinding> {
@@ -23,7 +24,7 @@
             positive(part, TIMEOUT, route.timeout),
             positive(part, TARGET_LATENCY, route.targetLatency),
             route.targetGap?.let { positive(part, TARGET_GAP, it) },
-            error(part, ATTEMPTS, "is below 1", "1 or more").takeIf { stated.attempts < 1 },
+            count(part, ATTEMPTS, stated.attempts),
         )
     }
 
@@ -45,10 +46,20 @@
         .map { error(ConfigurationPart.OfModel(position, it), SHARE, "is outside its range", "0 to 1") }
 
     private fun limits(limits: CallerLimits) = listOfNotNull(
+        count(ConfigurationPart.Limits, ConfigurationField.HEADER_BYTES, limits.headerBytes),
+        count(ConfigurationPart.Limits, ConfigurationField.BODY_BYTES, limits.bodyBytes),
         positive(ConfigurationPart.Limits, ConfigurationField.HEADER_TIMEOUT, limits.headerTimeout),
         positive(ConfigurationPart.Limits, ConfigurationField.IDLE_TIMEOUT, limits.idleTimeout),
     )
 
+    private fun counts(position: Int, service: StatedService) = listOfNotNull(
+        count(ConfigurationPart.OfService(position), ConfigurationField.CONNECTIONS, service.profile.connections),
+        service.profile.engine?.let { count(ConfigurationPart.OfEngine(position), ConfigurationField.SLOTS, it.slots) },
+    )
+
+    private fun count(part: ConfigurationPart, field: ConfigurationField, value: Int): ConfigurationFinding? =
+        error(part, field, "is below 1", "1 or more").takeIf { value < 1 }
+
     private fun positive(part: ConfigurationPart, field: ConfigurationField, value: Duration): ConfigurationFinding? =
         error(part, field, "is not a positive time", "more than 0").takeUnless { value.isPositive() }
 
