Wait for the established link before the test fills its send queue

Cause: the test of a reconnect with a full queue takes a dropped message as the sign that the queue is full. A message that is sent before the handshake has ended at the sender's side is dropped as well; reconnect() then finds no link, and the test waits for a close that never comes.

Change: the test waits until the link is reported as connected. Its checks are unchanged.

--- a/adapters/src/test/kotlin/boragering/adapters/LinkFixture.kt
+++ b/adapters/src/test/kotlin/boragering/adapters/LinkFixture.kt
@@ -27,7 +27,7 @@
     override fun monotonic(): Duration = System.nanoTime().nanoseconds
 }
 
-/** The [SocketPeerLink] of one daemon, with a record of received messages, closed links and dropped messages. */
+/** The [SocketPeerLink] of one daemon, with a record of received messages, open and closed links, and drops. */
 internal class LinkFixture(
     name: String,
     secret: ByteArray = SECRET,
@@ -35,6 +35,7 @@
 ) : AutoCloseable {
     val id = DaemonId(name)
     val received = CopyOnWriteArrayList<Pair<DaemonId, PeerMessage>>()
+    val connected = CopyOnWriteArrayList<DaemonId>()
     val closed = CopyOnWriteArrayList<DaemonId>()
     val addresses = HashMap<DaemonId, String>()
 
@@ -50,6 +51,10 @@
             received += from to envelope.message
         }
 
+        override fun peerConnected(peer: DaemonId) {
+            connected += peer
+        }
+
         override fun peerDisconnected(peer: DaemonId) {
             closed += peer
         }
--- a/adapters/src/test/kotlin/boragering/adapters/SocketPeerLinkTest.kt
+++ b/adapters/src/test/kotlin/boragering/adapters/SocketPeerLinkTest.kt
@@ -99,6 +99,8 @@
             LinkFixture("a").start().use { a ->
                 RawConnection.open(a.address).use { raw ->
                     raw.authenticate("c")
+                    // A message that is sent before the link is established is dropped although the queue is empty.
+                    awaitAssertion { a.connected shouldContain DaemonId("c") }
                     awaitAssertion {
                         a.link.send(DaemonId("c"), PeerMessage.Items(listOf(Item("key", 1, content))))
                         a.dropped shouldBeGreaterThan 0
