--- a/core/src/main/kotlin/boragering/core/requests/RequestLengthPredictor.kt
+++ b/core/src/main/kotlin/boragering/core/requests/RequestLengthPredictor.kt
@@ -1,5 +1,6 @@
 package boragering.core.requests
 
+import boragering.core.DecayingSum
 import boragering.core.OrganisationName
 import boragering.core.catalogue.Entry
 import boragering.core.catalogue.RequestLength
--- a/core/src/main/kotlin/boragering/core/requests/RetryBudget.kt
+++ b/core/src/main/kotlin/boragering/core/requests/RetryBudget.kt
@@ -1,8 +1,7 @@
 package boragering.core.requests
 
 import boragering.core.Clock
-import kotlin.math.exp
-import kotlin.time.Duration
+import boragering.core.DecayingSum
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -15,14 +14,14 @@
 
     /** Counts a new request. */
     @Synchronized
-    fun recordRequest() = requests.add(clock.monotonic(), 1.0)
+    fun recordRequest() = requests.add(clock.monotonic())
 
     /** Takes one retry from the budget. Returns `false` if the budget is used up. */
     @Synchronized
     fun tryTake(): Boolean {
         val now = clock.monotonic()
         val allowed = MINIMUM_RETRIES + RETRY_FRACTION * requests.value(now)
-        return (retries.value(now) + 1 <= allowed).also { if (it) retries.add(now, 1.0) }
+        return (retries.value(now) + 1 <= allowed).also { if (it) retries.add(now) }
     }
 
     private companion object {
@@ -33,20 +32,3 @@
         const val MINIMUM_RETRIES = 3.0
     }
 }
-
-/**
- * An exponentially decaying sum: the weight of each amount falls by a factor of e in each [window]. Not thread-safe.
- */
-internal class DecayingSum(private val window: Duration) {
-    private var sum = 0.0
-    private var updatedAt = Duration.ZERO
-
-    /** Adds [amount] at the monotonic time [now]. */
-    fun add(now: Duration, amount: Double) {
-        sum = value(now) + amount
-        updatedAt = now
-    }
-
-    /** The sum at the monotonic time [now]. */
-    fun value(now: Duration): Double = sum * exp(-((now - updatedAt) / window).coerceAtLeast(0.0))
-}
--- a/fleet/src/main/kotlin/boragering/fleet/CapacityDemand.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/CapacityDemand.kt
@@ -1,5 +1,6 @@
 package boragering.fleet
 
+import boragering.core.DecayingSum
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -10,7 +11,7 @@
  */
 class CapacityDemand(random: Random) {
     private val returnTimes = ReturnTimes(random)
-    private val sends = DecayingCount(RATE_MEMORY)
+    private val sends = DecayingSum(RATE_MEMORY)
 
     /** What each organisation has had. */
     val shares = OrganisationShares()
--- a/fleet/src/main/kotlin/boragering/fleet/ModelTraffic.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ModelTraffic.kt
@@ -1,5 +1,6 @@
 package boragering.fleet
 
+import boragering.core.DecayingSum
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -8,8 +9,8 @@
  * Times are of the monotonic clock. Not thread-safe.
  */
 class ModelTraffic {
-    private val sent = DecayingCount(MEMORY)
-    private val unserved = DecayingCount(MEMORY)
+    private val sent = DecayingSum(MEMORY)
+    private val unserved = DecayingSum(MEMORY)
     private var meanDuration: Duration? = null
 
     /** Records that a request was sent at [now]. */
--- a/fleet/src/main/kotlin/boragering/fleet/OrganisationShares.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/OrganisationShares.kt
@@ -1,5 +1,6 @@
 package boragering.fleet
 
+import boragering.core.DecayingSum
 import boragering.core.OrganisationName
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -22,8 +23,8 @@
 
     /** The requests asked for, and those of them that were sent to a target. */
     private class ServiceCount {
-        private val asked = DecayingCount(MEMORY)
-        private val served = DecayingCount(MEMORY)
+        private val asked = DecayingSum(MEMORY)
+        private val served = DecayingSum(MEMORY)
 
         fun add(asked: Double, served: Double, now: Duration) {
             this.asked.add(now, asked)
