Do not let one caller's repetitions hide those of a whole route

CallerReturns takes all callers of a route for new ones if fewer than a fifth of the attempts have the highest time left. One caller that repeats 50 times beside 8 first attempts had this effect, so that returns were not recognised and repetitions had no disadvantage (two cases of CallerReturnsTest, First instead of Returned and Premature before).

All attempts of a caller have the same deadline. The attempts of one with more than three, and more than three times as many as most others, no longer count.

--- a/fleet/src/main/kotlin/boragering/fleet/RouteCallers.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/RouteCallers.kt
@@ -13,14 +13,20 @@
     private val maximum = RecentMaximum(WINDOW, start)
     private var all = DecayingSum(WINDOW)
     private var atHighest = DecayingSum(WINDOW)
+    private val deadlines = RecentDeadlines()
 
     /** Adds [timeLeft] and returns the highest recent value. */
     fun add(timeLeft: Duration, now: Duration): Duration {
         // A higher value makes those before it look like repetitions, until others have it as well.
         if (timeLeft > maximum.value + NOISE) restart()
+        // Otherwise one caller that repeats every 60 ms would be four fifths of the attempts of a slow route.
+        if (!deadlines.add(now + timeLeft)) count(timeLeft, now)
+        return maximum.add(timeLeft, now)
+    }
+
+    private fun count(timeLeft: Duration, now: Duration) {
         all.add(now)
         if ((timeLeft - maximum.value).absoluteValue < NOISE) atHighest.add(now)
-        return maximum.add(timeLeft, now)
     }
 
     /** Whether first attempts have about the same time left, so that less of it shows an earlier attempt. */
--- a/fleet/src/test/kotlin/boragering/fleet/CallerReturnsTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/CallerReturnsTest.kt
@@ -51,7 +51,33 @@
         }
     }
 
+    it("counts unlike callers of a busy route as new ones (guards against close deadlines taken for one caller's)") {
+        val random = Random(1)
+        val returns = CallerReturns()
+        val attempts = (0 until 5_000).map {
+            val timeLeft = 8.seconds - 300.milliseconds * random.nextDouble()
+            returns.classify(route, timeLeft, 1.seconds + 1.milliseconds * it)
+        }
+        attempts.drop(1_000).shouldContainOnly(CallerAttempt.First)
+    }
+
     it("does not tell attempts apart by few requests (guards against a single caller that decides)") {
         CallerReturns().classify(listOf(8.seconds, 7.2.seconds)).last() shouldBe CallerAttempt.First
     }
+
+    describe("a caller that repeats 50 times beside callers that start with the same time left") {
+        val returns = CallerReturns()
+        val deadline = 9.seconds
+        returns.classify(List(8) { 8.seconds })
+        val repetitions = (0 until 50).map { 1_080.milliseconds + 60.milliseconds * it }
+        repetitions.forEach { returns.classify(route, deadline - it, it) }
+
+        it("does not hide returns of others (guards against one caller that decides for a whole route)") {
+            returns.classify(route, 7.2.seconds, 5.seconds) shouldBe CallerAttempt.Returned(800.milliseconds)
+        }
+
+        it("does not hide that others repeat at once (guards against a reward for repeating)") {
+            returns.classify(route, 7.9.seconds, 5.1.seconds) shouldBe CallerAttempt.Premature(100.milliseconds)
+        }
+    }
 })
