Keep the shares that end a shortage if the shortage comes back

After a shortage and its 10 s, the configured shares returned where the demand was within 1.5 of them, and the same model became short again. In virtual time, a model that needs 57 of 100 instances and is configured for 50 lost its groups 16 times in 180 s (ModelDemandTest).

Shares that follow the demand then stay also while both models are short; otherwise groups of models that are short in turn are dissolved once more (ModelDemandTest, 2 returns instead of at most 1).

--- a/fleet/src/main/kotlin/boragering/fleet/ModelDemand.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ModelDemand.kt
@@ -13,13 +13,14 @@
  * service.
  *
  * While one model's callers are rejected and another one's are not, the shares follow the demand however close they are
- * to it, and the model that serves all its callers gives its spare group up.
+ * to it, and the model that serves all its callers gives its spare group up. They do so for longer if the same model was
+ * short before ([ModelShortages]).
  *
  * Times are of the monotonic clock. Not thread-safe.
  */
 class ModelDemand {
     private val groups = HashMap<ModelName, Double>()
-    private val shortUntil = HashMap<ModelName, Duration>()
+    private val shortages = ModelShortages()
     private var firstAt: Duration? = null
     private var lastAt = Duration.ZERO
     private var following = false
@@ -31,13 +32,13 @@
         if (firstAt == null) firstAt = now
         lastAt = now
         groups.keys.retainAll(engine.models.keys)
-        shortUntil.keys.retainAll(engine.models.keys)
+        shortages.retain(engine.models.keys)
         engine.models.keys.forEach { model ->
             val load = loads[model] ?: ModelLoad(requests = 0.0)
             val busy = load.requests / engine.slots.coerceAtLeast(1)
             val before = groups[model] ?: busy
             groups[model] = before + weight * (busy - before)
-            if (load.unservedShare > TOLERATED_UNSERVED_SHARE) shortUntil[model] = now + SHORTAGE_MEMORY
+            if (load.unservedShare > TOLERATED_UNSERVED_SHARE) shortages.record(model, now)
         }
     }
 
@@ -51,11 +52,13 @@
      */
     fun apply(engine: EngineProfile, now: Duration): EngineProfile {
         if (!known(now) || engine.models.keys != groups.keys) return engine
-        val short = engine.models.keys.filterTo(HashSet()) { model -> shortUntil[model].let { it != null && it > now } }
+        val short = shortages.models(now)
         val unequal = short.isNotEmpty() && short.size < engine.models.size
         val needed = neededShares(engine) { if (!unequal || it in short) SPARE_GROUPS else 0.0 }
         val tolerated = if (following) TOLERATED_WHEN_FOLLOWING else TOLERATED_MISMATCH
-        following = unequal || mismatch(engine, needed) > tolerated
+        // Where all models are short in turn, groups would otherwise be dissolved and formed again each time.
+        val kept = following && shortages.recur(now)
+        following = unequal || kept || mismatch(engine, needed) > tolerated
         return if (following) engine.withShares(needed) else engine
     }
 
@@ -89,9 +92,6 @@
         /** Fraction of a model's requests that may find no capacity before the model counts as short of groups. */
         const val TOLERATED_UNSERVED_SHARE = 0.05
 
-        /** Time for which a model counts as short after its last shortage; a group that it needs takes as long. */
-        val SHORTAGE_MEMORY = 10.seconds
-
         /** Groups beyond those that the requests fill. A large group loses a member more often than a small one. */
         const val SPARE_GROUPS = 1.0
 
--- a/fleet/src/test/kotlin/boragering/fleet/ModelDemandTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/ModelDemandTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.doubles.plusOrMinus
 import io.kotest.matchers.doubles.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -44,4 +45,48 @@
     it("keeps them while the callers of both models are rejected alike (guards against shares that follow noise)") {
         share(ModelDemand(), ModelLoad(30.0, 0.5), ModelLoad(60.0, 0.5)) shouldBe (0.5 plusOrMinus 0.01)
     }
+
+    describe("a model that needs a little more than its configured share, for three minutes") {
+        val pool = SharedPool(engine)
+        val shares = pool.play(180.seconds, mapOf(large to 160.0, small to 495.0))
+
+        it("loses its groups once at most (guards against groups dissolved and formed again every 10 s)") {
+            shares.zipWithNext().count { (before, after) -> before > after && after == 0.5 } shouldBeLessThan 2
+        }
+
+        it("has them again after each shortage (guards against a hysteresis that keeps the shortage)") {
+            shares.count { it == 0.5 } shouldBeLessThan 30
+        }
+
+        it("gives them back when it has needed less for long (guards against shares that never return)") {
+            pool.play(330.seconds, mapOf(large to 160.0, small to 400.0)).last() shouldBe 0.5
+        }
+    }
+
+    it("keeps the groups of models that are short in turn (guards against regrouping without free capacity)") {
+        val shares = SharedPool(engine).play(180.seconds, mapOf(large to 220.0, small to 500.0))
+        shares.zipWithNext().count { (before, after) -> before > after && after == 0.5 } shouldBeLessThan 2
+    }
 })
+
+/** A pool of 100 instances that is divided at once by the shares that its own demand leads to. */
+private class SharedPool(private val engine: EngineProfile) {
+    private val demand = ModelDemand()
+    private var planned = engine
+    private var now = Duration.ZERO
+
+    /** Plays [requests] in progress of each model for [length] and returns the small model's share in each second. */
+    fun play(length: Duration, requests: Map<ModelName, Double>): List<Double> =
+        (0 until length.inWholeSeconds).map {
+            now += 1.seconds
+            demand.record(engine, requests.mapValues { (model, wanted) -> load(model, wanted) }, now)
+            planned = demand.apply(engine, now)
+            planned.models.getValue(TestModels.small.name).share
+        }
+
+    private fun load(model: ModelName, wanted: Double): ModelLoad {
+        val profile = planned.models.getValue(model)
+        val capacity = (100 * profile.share / profile.groupSize).toInt() * engine.slots
+        return ModelLoad(wanted, (1 - capacity / wanted).coerceAtLeast(0.0))
+    }
+}
