Choose ports of processes under test in one place, below the ephemeral range

Cause: fixtures took a free port from the ephemeral range and released it before the process under test bound it, so that any other listener or outgoing connection on the machine could take it.

No check is changed.

--- a/scenarios/src/main/kotlin/boragering/scenarios/DaemonPreparation.kt
+++ b/scenarios/src/main/kotlin/boragering/scenarios/DaemonPreparation.kt
@@ -1,5 +1,6 @@
 package boragering.scenarios
 
+import boragering.adapters.FreePorts
 import java.nio.file.Path
 import kotlin.io.path.writeText
 
