Keep waiting organisations in the order of their ranks

AdmissionQueue computed the rank of every organisation that waits in a class for each request and for each position.

OrganisationOrder keeps them ordered. The rank of an organisation is computed again when it is served, all ranks every 100 ms, in which the counts decay by a hundredth. Within a class the first organisation has the highest occupancy limit, so that no other is tried if it has none.

--- a/fleet/src/main/kotlin/boragering/fleet/AdmissionQueue.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/AdmissionQueue.kt
@@ -9,62 +9,48 @@
  * The requests that wait for capacity of one service and model, in the order in which they are served: by urgency;
  * callers that have come back and can be answered on time, new ones, callers that have come back too late for that,
  * those that have come sooner than they can have been told to; the organisation with the lowest [rank]; the earliest
- * deadline. Finding the next request takes a time that grows with the organisations that wait, not with the requests.
- * Not thread-safe.
+ * deadline. Finding the next request takes a time that hardly grows with the organisations that wait, and not with the
+ * requests; ranks may be up to 100 ms old ([OrganisationOrder]). Not thread-safe.
  *
  * @param rank what an organisation has had relative to its share at a time of the monotonic clock.
  */
 class AdmissionQueue(private val rank: (OrganisationName?, Duration) -> Double) {
-    private val classes = TreeMap<Int, QueueClass>()
-    private val byWaitEnd = TreeSet<Entry>(compareBy({ it.request.admission.waitUntil }, { it.number }))
-    private val entries = HashMap<PendingRequest, Entry>()
+    private val classes = TreeMap<Int, OrganisationOrder>()
+    private val byWaitEnd = TreeSet(QueuedRequest.BY_WAIT_END)
+    private val entries = HashMap<PendingRequest, QueuedRequest>()
     private var nextNumber = 0L
 
     /** Number of waiting requests. */
     val size: Int get() = entries.size
 
-    private class Entry(val request: PendingRequest, val number: Long)
-
-    /** The requests of equal urgency and return, by organisation. */
-    private class QueueClass {
-        val organisations = HashMap<OrganisationName?, TreeSet<Entry>>()
-        var size = 0
-    }
-
     /** Adds [request]. */
     fun add(request: PendingRequest) {
-        val entry = Entry(request, nextNumber++)
+        val entry = QueuedRequest(request, nextNumber++)
         entries[request] = entry
         byWaitEnd += entry
-        val queueClass = classes.getOrPut(classOf(request.admission)) { QueueClass() }
-        queueClass.organisations.getOrPut(request.admission.organisation) { TreeSet(BY_DEADLINE) } += entry
-        queueClass.size += 1
+        classes.getOrPut(classOf(request.admission)) { OrganisationOrder(rank) }.add(entry)
     }
 
-    /** Removes [request]; returns whether it was waiting. */
+    /** Removes [request], which may have been served; returns whether it was waiting. */
     fun remove(request: PendingRequest): Boolean {
         val entry = entries.remove(request) ?: return false
         byWaitEnd -= entry
         val key = classOf(request.admission)
-        val queueClass = classes.getValue(key)
-        val organisation = queueClass.organisations.getValue(request.admission.organisation)
-        organisation -= entry
-        queueClass.size -= 1
-        if (organisation.isEmpty()) queueClass.organisations.remove(request.admission.organisation)
-        if (queueClass.size == 0) classes.remove(key)
+        val order = classes.getValue(key)
+        order.remove(entry)
+        if (order.size == 0) classes.remove(key)
+        classes.values.forEach { it.onServed(entry.organisation) }
         return true
     }
 
     /**
-     * The request that is served next at [now] of those for which [eligible] holds, which depends on no more than the
-     * urgency, the return and the organisation; `null` if there is none.
+     * The request that is served next at [now] of those for which [eligible] holds; `null` if there is none. [eligible]
+     * depends on no more than the urgency, the return and the organisation. Among requests of equal urgency and return,
+     * it holds for the organisation with the lowest rank if it holds for any, so that the others are not asked.
      */
     fun next(now: Duration, eligible: (AdmissionRequest) -> Boolean): PendingRequest? =
-        classes.values.firstNotNullOfOrNull { queueClass ->
-            queueClass.organisations.entries
-                .filter { (_, waiting) -> eligible(waiting.first().request.admission) }
-                .minByOrNull { (name, _) -> rank(name, now) }
-                ?.value?.first()?.request
+        classes.values.firstNotNullOfOrNull { order ->
+            order.first(now).request.takeIf { eligible(it.admission) }
         }
 
     /** A request that may no longer wait at [now]; `null` if there is none. */
@@ -75,14 +61,7 @@
     fun ahead(admission: AdmissionRequest, now: Duration): Int {
         val key = classOf(admission)
         val before = classes.headMap(key).values.sumOf { it.size }
-        val same = classes[key]?.organisations ?: return before
-        val ownWaiting = same[admission.organisation]?.size ?: 0
-        val ownRank = rank(admission.organisation, now)
-        val others = same.entries.filter { it.key != admission.organisation }.sumOf { (name, waiting) ->
-            // Organisations alternate, except that one with a lower rank is served until it has had as much.
-            if (rank(name, now) < ownRank) waiting.size else minOf(waiting.size, ownWaiting)
-        }
-        return before + ownWaiting + others
+        return before + (classes[key]?.ahead(admission.organisation, now) ?: 0)
     }
 
     private fun classOf(admission: AdmissionRequest): Int {
@@ -99,6 +78,5 @@
 
     private companion object {
         const val CLASSES_PER_URGENCY = 4
-        val BY_DEADLINE = compareBy<Entry>({ it.request.admission.deadline }, { it.number })
     }
 }
