--- a/fleet/src/main/kotlin/boragering/fleet/GroupView.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupView.kt
@@ -44,8 +44,14 @@
             model = model,
             group = group,
             memberZones = members.map { it.availabilityZone }.toPersistentSet(),
+            slowdown = slowdown(engine),
         )
 
+    private fun slowdown(engine: EngineProfile): Double {
+        val domains = members.mapTo(HashSet()) { it.groupDomain }
+        return if (domains.size > 1) engine.crossDomainSlowdown ?: 1.0 else 1.0
+    }
+
     private fun stable(member: Instance): Boolean =
         member.state == InstanceState.SERVING && member.membership?.state in STABLE_STATES
 
--- a/fleet/src/main/kotlin/boragering/fleet/Target.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/Target.kt
@@ -17,6 +17,8 @@
  * @property model the model that the group serves; `null` for a service without groups.
  * @property members the starts of all instances of the target; the first one receives the requests.
  * @property memberZones the availability zones of all members; [availabilityZone] is that of the head.
+ * @property slowdown how many times slower the target runs than others because its members are in different fabric
+ * domains; 1 for all other targets.
  */
 data class Target(
     val service: ServiceName,
@@ -27,6 +29,7 @@
     val model: ModelName? = null,
     val group: GroupEpoch? = null,
     val memberZones: PersistentSet<AvailabilityZone> = persistentSetOf(availabilityZone),
+    val slowdown: Double = 1.0,
 ) {
     /** The start of the instance that receives the requests. */
     val head: InstanceStart = members.first()
