Form groups across fabric domains for models that are short of capacity

A model stayed without a group while instances in several domains held its weights, because no domain had enough of them: callers were rejected for up to 24 s.

The planner now forms a group across domains if callers of the model are rejected, its groups serve less than half of its demand, and no domain can form one (CrossDomainPlan). It ends once another group serves the model and its members are needed or the model is not short. ModelDemand reports the models that are short.

--- a/fleet/src/main/kotlin/boragering/fleet/Formation.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/Formation.kt
@@ -57,6 +57,9 @@
     val head: Instance? =
         if (adopted) members.firstOrNull { it.membership?.rank == 0 } else members.first()
 
+    /** Whether the members are in different fabric domains, so that the group runs slower. */
+    val crossesDomains: Boolean = members.distinctBy { it.groupDomain }.size > 1
+
     /** Begins to end the group. If it already ends, only [lost] is taken over, and the first reason is kept. */
     fun end(now: Duration, endReason: String, lost: Boolean) {
         memberLost = memberLost || lost
--- a/fleet/src/main/kotlin/boragering/fleet/FormationRegistry.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/FormationRegistry.kt
@@ -56,9 +56,12 @@
             .map { Formation(it.group, it.wholeModel(state.engine), it.members, now, adopted = true) }
             .onEach(::add)
 
-    /** Number of instances of each model in groups that are not ending. */
+    /**
+     * Number of instances of each model in groups that are not ending. Groups across domains do not count: they only
+     * serve until the model has others.
+     */
     fun assigned(): Map<ModelName, Int> =
-        all.filter { it.phase != FormationPhase.ENDING }
+        all.filter { it.phase != FormationPhase.ENDING && !it.crossesDomains }
             .mapNotNull { formation -> formation.model?.let { it to formation.members.size } }
             .groupBy({ it.first }, { it.second })
             .mapValues { (_, sizes) -> sizes.sum() }
--- a/fleet/src/main/kotlin/boragering/fleet/GroupComposer.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupComposer.kt
@@ -1,6 +1,7 @@
 package boragering.fleet
 
 import boragering.core.FabricDomain
+import kotlin.time.Duration
 
 /** The members chosen for a new group; the first one becomes the head. */
 internal data class Composition(val model: ModelName, val members: List<Instance>)
@@ -25,18 +26,52 @@
     /** Number of instances of [domain] that are kept out of groups, so that they can replace lost members. */
     fun sparesOf(domain: FabricDomain): Int = (usable[domain] ?: 0) / INSTANCES_PER_SPARE
 
-    private companion object {
-        const val INSTANCES_PER_SPARE = 8
+    /** How much it costs that [instance] joins a group of [model]; a weight load costs most. */
+    fun joinCost(instance: Instance, model: ModelName): Int = when {
+        model in instance.loaded -> 0
+        model in instance.staged -> STAGED_COST
+        staging[instance.start] == model -> STAGING_COST
+        else -> LOAD_COST
+    }
+
+    companion object {
+        private const val INSTANCES_PER_SPARE = 8
+        private const val STAGED_COST = 1
+        private const val STAGING_COST = 2
+        private const val LOAD_COST = 10
+
+        /** The input for the [state] of a pool at [now], with the models that instances are [staging]. */
+        fun of(
+            formations: FormationRegistry,
+            growth: PoolGrowthTracker,
+            staging: Map<InstanceStart, ModelName>,
+            state: PoolState,
+            now: Duration,
+        ): CompositionInput {
+            val members = formations.members
+            val free = state.serving.filter { it.start !in members && !formations.headMayStillServe(it) }
+                .groupBy { it.groupDomain }
+            val ending = formations.ending(now)
+            return CompositionInput(
+                engine = state.engine,
+                free = free,
+                waiting = free.keys.filterTo(HashSet()) { it in ending || growth.growing(it, now) },
+                usable = state.serving.groupingBy { it.groupDomain }.eachCount(),
+                assigned = formations.assigned(),
+                staging = staging,
+            )
+        }
     }
 }
 
 /**
  * Decides which groups to form from the free instances, and which models the remaining spare instances stage.
  *
- * All members of a group are in one fabric domain. Models get instances in proportion to their share of the work.
- * Weight loads are scarce: the weight store serves only a few at a time, and each takes many times as long as a
- * warm-up. Therefore a group is formed only once all its members hold the weights. Until then the instances stay free
- * for any group that can be formed earlier. Each domain keeps spare instances to replace lost members quickly.
+ * All members of a group are in one fabric domain; a [CrossDomainPlan] decides on other groups. Models get instances in
+ * proportion to their share of the work. Weight loads are scarce: the weight store serves only a few at a time, and
+ * each takes many times as long as a warm-up. Therefore a group is formed only once all its members hold the weights.
+ * Until then the instances stay free for any group that can be formed earlier. Each domain keeps spare instances to
+ * replace lost members quickly.
  */
 internal class GroupComposer(private val input: CompositionInput) {
     private val engine = input.engine
@@ -73,6 +108,9 @@
         takeScarcest(options.filter { it.ready && affordable(it) })
     }.toList()
 
+    /** Takes [members] out of the free instances, for a group that this composer has not composed. */
+    fun take(members: List<Instance>) = free.values.forEach { it.removeAll(members) }
+
     /**
      * Proposes which models the remaining spare instances stage, the most urgent first. [holders] returns the number of
      * instances of a domain that count as holding a model.
@@ -97,7 +135,7 @@
     private fun option(model: ModelProfile, domain: FabricDomain): GroupOption? {
         val instances = free.getValue(domain)
         if (instances.size - model.groupSize < input.sparesOf(domain)) return null
-        val members = instances.sortedBy { joinCost(it, model.name) }.take(model.groupSize)
+        val members = instances.sortedBy { input.joinCost(it, model.name) }.take(model.groupSize)
         return GroupOption(model, domain, members, ready = members.all { it.holds(model.name) })
     }
 
@@ -122,18 +160,8 @@
     /** Number of instances in groups of [model] in relation to its share of the work. */
     private fun supply(model: ModelProfile): Double = (assigned[model.name] ?: 0) / model.weight
 
-    private fun joinCost(instance: Instance, model: ModelName): Int = when {
-        model in instance.loaded -> 0
-        model in instance.staged -> STAGED_COST
-        input.staging[instance.start] == model -> STAGING_COST
-        else -> LOAD_COST
-    }
-
     private companion object {
         /** Models with more than this multiple of the scarcest model's supply leave free instances to other models. */
         const val TOLERATED_IMBALANCE = 1.5
-        const val STAGED_COST = 1
-        const val STAGING_COST = 2
-        const val LOAD_COST = 10
     }
 }
--- a/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
@@ -94,14 +94,20 @@
     private fun compose(state: PoolState, now: Duration): List<AddressedOrder> {
         growth.observe(state, now)
         spares.retain(state, now)
-        val input = input(state, now)
+        val input = CompositionInput.of(formations, growth, spares.staging, state, now)
         val composer = GroupComposer(input)
         val compositions = when {
             !formations.neverHadGroups -> composer.compose()
             growth.isStable(now) -> composer.composeInitial()
             else -> emptyList()
         }
-        val formed = compositions.flatMap { form(it, state, now) }
+        val plan = CrossDomainPlan(input, formations.all, state)
+        endCrossing(plan, now)
+        // The first groups of a pool use its instances better than groups across domains.
+        val divided = compositions.isEmpty() && (!formations.neverHadGroups || growth.isStable(now))
+        val crossing = if (divided) plan.compose(composer.spares) else null
+        crossing?.let { composer.take(it.members) }
+        val formed = (compositions + listOfNotNull(crossing)).flatMap { form(it, state, now) }
         val permits = permits(state, now)
         val staged = spares.stage(composer, state, now) { permits.tryAcquire(it) }
         if (!formations.neverHadGroups && formed.isEmpty() && state.demandKnown) regroup(input, state, now)
@@ -111,6 +117,13 @@
         return formed + staged + reserved + warmed
     }
 
+    /** Ends the groups across domains that have been replaced. */
+    private fun endCrossing(plan: CrossDomainPlan, now: Duration) =
+        plan.ending().forEach { (formation, reason) ->
+            formation.end(now, reason, lost = false)
+            decisions += PlanningDecision(formation.group, "group-ends", reason)
+        }
+
     private fun regroup(input: CompositionInput, state: PoolState, now: Duration) {
         val reassignment = RegroupingPlan(input, formations.serving, state).choose() ?: return
         val formation = reassignment.formation
@@ -118,21 +131,6 @@
         decisions += PlanningDecision(formation.group, "group-ends", formation.reason.orEmpty())
     }
 
-    private fun input(state: PoolState, now: Duration): CompositionInput {
-        val members = formations.members
-        val free = state.serving.filter { it.start !in members && !formations.headMayStillServe(it) }
-            .groupBy { it.groupDomain }
-        val ending = formations.ending(now)
-        return CompositionInput(
-            engine = state.engine,
-            free = free,
-            waiting = free.keys.filterTo(HashSet()) { it in ending || growth.growing(it, now) },
-            usable = state.serving.groupingBy { it.groupDomain }.eachCount(),
-            assigned = formations.assigned(),
-            staging = spares.staging,
-        )
-    }
-
     private fun form(composition: Composition, state: PoolState, now: Duration): List<AddressedOrder> {
         val group = epochs.group()
         val members = composition.members.toPersistentList()
--- a/fleet/src/main/kotlin/boragering/fleet/ModelDemand.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ModelDemand.kt
@@ -59,6 +59,10 @@
         return if (following) engine.withShares(needed) else engine
     }
 
+    /** The models of which callers were rejected shortly before [now], with the groups that their demand fills. */
+    fun shortages(now: Duration): Map<ModelName, Double> =
+        if (known(now)) groups.filterKeys { model -> shortUntil[model].let { it != null && it > now } } else emptyMap()
+
     private fun neededShares(engine: EngineProfile, spareGroups: (ModelName) -> Double): Map<ModelName, Double> {
         val instances = engine.models.values.associate { model ->
             model.name to (groups.getValue(model.name) + spareGroups(model.name)) * model.groupSize
--- a/fleet/src/main/kotlin/boragering/fleet/PaceComparison.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/PaceComparison.kt
@@ -7,27 +7,31 @@
     private val usualGap: Duration?
 
     init {
-        val known = candidates.mapNotNull { it.pace?.gap }.sorted()
+        val known = candidates.mapNotNull { it.pace?.gap?.div(it.target.slowdown) }.sorted()
         // The lower median: of two slow targets and two usual ones, a usual one is the measure.
         usualGap = if (known.size < MIN_KNOWN) null else known[(known.size - 1) / 2]
     }
 
-    /** How much longer than usual the gaps of [candidate] are; the usual pace if nothing is known of the target. */
+    /**
+     * How much longer than usual the gaps of [candidate] are. The slowdown that is known in advance counts if nothing
+     * is known of the target or the gaps seem shorter.
+     */
     fun slowness(candidate: Candidate): Double {
+        val slowdown = candidate.target.slowdown
         val pace = candidate.pace
-        if (pace == null || usualGap == null || usualGap <= Duration.ZERO) return USUAL
+        if (pace == null || usualGap == null || usualGap <= Duration.ZERO) return slowdown
         val factor = pace.gap / usualGap
-        return if (factor < SLOW) USUAL else factor
+        return if (factor < SLOW) slowdown else maxOf(factor, slowdown)
     }
 
-    /** The [slowness] that counts for a choice: a target that is to be probed has the usual pace. */
+    /** The [slowness] that counts for a choice: a target that is to be probed has the pace known in advance. */
     fun factor(candidate: Candidate): Double =
-        if (candidate.pace?.probeDue == true) USUAL else slowness(candidate)
+        if (candidate.pace?.probeDue == true) candidate.target.slowdown else slowness(candidate)
 
     /** Whether the events of [candidate] come later than [targetGap] allows while those of other targets do not. */
     fun tooLate(candidate: Candidate, targetGap: Duration?): Boolean {
-        val pace = candidate.pace
-        return targetGap != null && pace != null && factor(candidate) > USUAL && pace.gap > targetGap
+        val gap = candidate.pace?.gap ?: usualGap?.times(candidate.target.slowdown)
+        return targetGap != null && gap != null && factor(candidate) > USUAL && gap > targetGap
     }
 
     /** The pace of most targets. */
--- a/fleet/src/main/kotlin/boragering/fleet/PoolState.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/PoolState.kt
@@ -9,6 +9,7 @@
  * @param unreachable starts of instances that are listed but do not answer.
  * @param evacuated availability zones whose instances get no orders; the pool consists of those in the other zones.
  * @property demandKnown whether the models' shares are known to fit the demand, so that groups may be exchanged for it.
+ * @property shortages the models whose callers are rejected, each with the number of groups that its demand fills.
  */
 class PoolState(
     val engine: EngineProfile,
@@ -16,6 +17,7 @@
     private val unreachable: Set<InstanceStart> = emptySet(),
     private val evacuated: Set<AvailabilityZone> = emptySet(),
     val demandKnown: Boolean = true,
+    val shortages: Map<ModelName, Double> = emptyMap(),
 ) {
     private val answeringByStart =
         instances.filter { it.start !in unreachable && !isEvacuated(it) }.associateBy { it.start }
@@ -31,7 +33,7 @@
 
     /** Returns this state with the instances replaced by [changed]. */
     fun withInstances(changed: List<Instance>): PoolState =
-        PoolState(engine, changed, unreachable, evacuated, demandKnown)
+        PoolState(engine, changed, unreachable, evacuated, demandKnown, shortages)
 
     /** Whether [instance] is in an evacuated zone. */
     fun isEvacuated(instance: Instance): Boolean = instance.availabilityZone in evacuated
--- a/fleet/src/main/kotlin/boragering/fleet/RegroupingPlan.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/RegroupingPlan.kt
@@ -35,7 +35,8 @@
         val missing = model.groupSize - free.count { it.holds(model.name) }
         val beingStaged = free.count { input.staging[it.start] == model.name && !it.holds(model.name) }
         if (missing <= beingStaged) return emptyList()
-        return serving.filter { it.members.first().groupDomain == domain && completes(it, model, missing) }
+        return serving.filter { !it.crossesDomains && it.members.first().groupDomain == domain }
+            .filter { completes(it, model, missing) }
             .filter { free.size + it.members.size - model.groupSize >= input.sparesOf(domain) }
             .map { Reassignment(it, model.name) }
     }
--- a/fleet/src/test/kotlin/boragering/fleet/FakePool.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/FakePool.kt
@@ -198,6 +198,9 @@
     /** The profile by which the planner forms groups. */
     var plannedEngine = engine
 
+    /** The models whose callers are rejected, with the number of groups that the demand fills. */
+    var shortages = emptyMap<ModelName, Double>()
+
     /** The evacuated availability zones; each order to an instance in one of them is a violation. */
     var evacuated = emptySet<AvailabilityZone>()
 
@@ -282,7 +285,8 @@
         (instance.alive && instance.unreachableUntil <= now) || now - diedAt.getValue(instance.id) < LISTED_AFTER_DEATH
 
     private fun plan() {
-        val step = planner.step(PoolState(plannedEngine, lists.first().second, evacuated = evacuated), now)
+        val state = PoolState(plannedEngine, lists.first().second, evacuated = evacuated, shortages = shortages)
+        val step = planner.step(state, now)
         step.orders.forEach { planner.recordOutcome(it, send(it)) }
     }
 
--- a/fleet/src/test/kotlin/boragering/fleet/LossyDay.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/LossyDay.kt
@@ -188,6 +188,7 @@
         }
         demand.record(load.engine, loads, pool.now)
         pool.plannedEngine = demand.apply(load.engine, pool.now)
+        pool.shortages = demand.shortages(pool.now)
     }
 
     companion object {
--- a/fleet/src/test/kotlin/boragering/fleet/LossyDayTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/LossyDayTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.doubles.shouldBeGreaterThan
+import kotlin.time.Duration.Companion.seconds
 
 /** Pools that lose a third of their instances within half a minute, with far fewer weight loads than losses. */
 class LossyDayTest : DescribeSpec({
@@ -45,6 +46,29 @@
         }
     }
 
+    mapOf(
+        "one scarce model" to (LossyLoad.SCARCE_SMALL_GROUPS to "four"),
+        "few groups" to (LossyLoad.FEW_GROUPS to "four"),
+        "domains of 19" to (LossyLoad.NINETEENS to "eight"),
+    ).forEach { (name, short) ->
+        describe("a pool with $name that may form groups across domains") {
+            val (load, model) = short
+            val engine = load.engine.copy(crossDomainSlowdown = null)
+            val closing = load.copy(followsDemand = true, runningTime = 1.seconds)
+            val without = LossyDay.play(closing.copy(engine = engine), 1..12)
+            val with = LossyDay.play(closing, 1..12)
+            fun List<LossyDay>.served() = sumOf { it.servedShare(ModelName(model)) } / size
+
+            it("serves more of the scarce model (guards against a model without groups beside its idle holders)") {
+                with.served() shouldBeGreaterThan without.served() + 0.01
+            }
+
+            it("never violates the invariants between groups") {
+                with.flatMap { it.violations }.shouldBeEmpty()
+            }
+        }
+    }
+
     describe("a pool whose demand differs from the configured shares") {
         val configured = LossyDay.play(LossyLoad.UNEVEN, 1..12)
         val following = LossyDay.play(LossyLoad.UNEVEN.copy(followsDemand = true), 1..12)
--- a/fleet/src/test/kotlin/boragering/fleet/ModelDemandTest.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/ModelDemandTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.doubles.plusOrMinus
 import io.kotest.matchers.doubles.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
+import kotlin.math.roundToInt
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -31,6 +32,20 @@
             share(demand, ModelLoad(requests = 10.0), ModelLoad(60.0), from = 9.seconds) shouldBeGreaterThan 0.7
         }
 
+        it("is reported with its demand until it has recovered (guards against needless groups)") {
+            val demand = ModelDemand()
+            share(demand, ModelLoad(requests = 10.0), busy)
+            demand.shortages(9.seconds).mapValues { it.value.roundToInt() } shouldBe mapOf(small to 3)
+            share(demand, ModelLoad(requests = 10.0), ModelLoad(60.0), from = 11.seconds)
+            demand.shortages(20.seconds) shouldBe emptyMap()
+        }
+
+        it("is not reported before the demand is known (guards against groups formed on first impressions)") {
+            val demand = ModelDemand()
+            demand.record(engine, mapOf(small to busy), Duration.ZERO)
+            demand.shortages(1.seconds) shouldBe emptyMap()
+        }
+
         it("leaves the other model a share (guards against a model that loses all its groups)") {
             val share = share(ModelDemand(), ModelLoad(requests = 0.0), busy)
             1 - share shouldBeGreaterThan 0.1
--- a/gateway/src/main/kotlin/boragering/gateway/DemandObserver.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DemandObserver.kt
@@ -18,6 +18,9 @@
 
     /** Whether the demand for the models of [service] is known. */
     fun known(service: ServiceName): Boolean
+
+    /** The models of [service] whose callers are rejected, each with the number of groups that its demand fills. */
+    fun shortages(service: ServiceName): Map<ModelName, Double>
 }
 
 /**
@@ -64,6 +67,9 @@
 
     override fun known(service: ServiceName): Boolean = demands[service]?.known(state.now()) ?: false
 
+    override fun shortages(service: ServiceName): Map<ModelName, Double> =
+        demands[service]?.shortages(state.now()).orEmpty()
+
     private fun traffic(routed: RoutedRequest): ModelTraffic? {
         val models = routed.service.engine?.models.orEmpty()
         val model = routed.model?.takeIf { models.size > 1 && it in models }
--- a/gateway/src/main/kotlin/boragering/gateway/PlannerLoop.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PlannerLoop.kt
@@ -9,6 +9,7 @@
 import boragering.fleet.Instance
 import boragering.fleet.InstanceList
 import boragering.fleet.InstanceStart
+import boragering.fleet.ModelName
 import boragering.fleet.ServiceName
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -34,6 +35,9 @@
     /** Whether the demand for the models of [service] is known. */
     fun demandKnown(service: ServiceName): Boolean = true
 
+    /** The models of [service] whose callers are rejected, each with the number of groups that its demand fills. */
+    fun shortages(service: ServiceName): Map<ModelName, Double> = emptyMap()
+
     /** The availability zones whose instances get no orders and no other calls. */
     val evacuatedZones: Set<AvailabilityZone>
 
--- a/gateway/src/main/kotlin/boragering/gateway/PlannerTerm.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PlannerTerm.kt
@@ -56,6 +56,7 @@
                 unreachable.keys,
                 view.evacuatedZones,
                 view.demandKnown(service.name),
+                view.shortages(service.name),
             )
             val step = planner.step(pool, now)
             sendOrders(planner, step, scope)
