Take late callers of the only gateway for new ones

A first attempt that arrives up to 0.6 s late looks like a repetition by its time left. Where there is one gateway, no other can have rejected the caller: it now remembers whom it has rejected (RejectedCallers; organisation, urgency and deadline, 4,096 callers) and takes all others for new ones.

--- a/fleet/src/main/kotlin/boragering/fleet/AdmissionLane.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/AdmissionLane.kt
@@ -14,6 +14,9 @@
     /** What is known of the demand and of the use of the capacity. */
     val demand = CapacityDemand(random)
 
+    /** The callers that were rejected here. */
+    val rejectedCallers = RejectedCallers()
+
     private val queue = AdmissionQueue(demand.shares::rank)
 
     /** Number of waiting requests. */
@@ -100,6 +103,7 @@
 
     private fun reject(request: PendingRequest, reason: RejectionReason, now: Duration) {
         val position = queue.ahead(request.admission, now)
+        rejectedCallers.add(request.admission)
         request.reject(demand.rejection(reason, request.admission, position, now))
     }
 
--- a/fleet/src/main/kotlin/boragering/fleet/ModelDemand.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ModelDemand.kt
@@ -13,8 +13,8 @@
  * service.
  *
  * While one model's callers are rejected and another one's are not, the shares follow the demand however close they are
- * to it, and the model that serves all its callers gives its spare group up. They do so for longer if the same model was
- * short before ([ModelShortages]).
+ * to it, and the model that serves all its callers gives its spare group up. They do so for longer if the same model
+ * was short before ([ModelShortages]).
  *
  * Times are of the monotonic clock. Not thread-safe.
  */
--- a/fleet/src/test/kotlin/boragering/fleet/AdmissionDay.kt
+++ b/fleet/src/test/kotlin/boragering/fleet/AdmissionDay.kt
@@ -137,7 +137,7 @@
                 now,
                 caller.startedAt + caller.patience,
                 attempt,
-            )
+            ).let { lane.rejectedCallers.correct(it, nodes.size) }
 
             override fun trySend(): SendResult {
                 val limit = lane.demand.occupancyLimit(admission, now)
--- a/gateway/src/main/kotlin/boragering/gateway/RequestAdmission.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/RequestAdmission.kt
@@ -40,7 +40,7 @@
         arrivedAt = routed.arrivedAt,
         deadline = routed.deadline,
         caller = state.admission.classify(routed),
-    )
+    ).let { lane.rejectedCallers.correct(it, state.ports.gatewayCount()) }
 
     /** Sends the request, lets it wait or rejects it. */
     fun begin() = lane.offer(this, state.now())
