Fail a call at once when its response is read as the body of an unexpected one

Cause: on a kept connection, a part of a response to an earlier request can arrive when the next request has already been sent. The gateway skips that response by its id, and reads the missing rest of its body from the response to the current request. What then remains has no status line, so the call waited for its deadline: the caller got 504 although the target had answered. If it answered with status 101, the gateway should have answered 502 at once, or with another target's answer.

Change: the body of a skipped response that contains a status line, also one split between two reads, fails the call. A status line may have any status of three digits, because a faulty target may send 600; this holds for the heads and bodies of other responses, too.

Test: ExtraBytesTest plays each beginning of a late response before status 101 and 600, in one write and in two, and a refusal without an id. The gateway's clock is stopped, so that only an answer without any wait passes.

--- a/gateway/src/main/kotlin/boragering/gateway/ResponseFraming.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ResponseFraming.kt
@@ -10,10 +10,12 @@
 internal object ResponseFraming {
     private const val VERSION = "HTTP/1."
     private val VERSION_BYTES = VERSION.toByteArray()
-    private val STATUS_LINE = Regex("HTTP/1\\.[01] [1-5][0-9]{2}")
+
+    /** A faulty target may also send a status that no response can have, such as 600. */
+    private val STATUS_LINE = Regex("HTTP/1\\.[01] [0-9]{3}")
 
     /** Number of bytes of a status line up to its status. */
-    private const val STATUS_LINE_PREFIX_BYTES = 12
+    const val STATUS_LINE_PREFIX_BYTES = 12
 
     /** Number of bytes in which the head of a repeated response is expected to name its request. */
     private const val MAX_HEAD_BYTES = 4 shl 10
@@ -24,6 +26,10 @@
             response.headers().iteratorCharSequence().asSequence()
                 .any { containsStatusLine(it.key) || containsStatusLine(it.value) }
 
+    /** Whether [text] contains a status line. A regular expression reads a string faster than Netty's text types. */
+    fun containsStatusLine(text: CharSequence): Boolean =
+        VERSION in text.toString() && STATUS_LINE.containsMatchIn(text)
+
     /** Whether [content] begins with a status line. */
     fun startsWithStatusLine(content: HttpContent): Boolean {
         val bytes = content.content()
@@ -55,8 +61,4 @@
 
     private fun startsVersion(bytes: ByteArray, start: Int): Boolean =
         VERSION_BYTES.indices.all { bytes[start + it] == VERSION_BYTES[it] }
-
-    /** A regular expression reads a string faster than Netty's text types. */
-    private fun containsStatusLine(text: CharSequence): Boolean =
-        VERSION in text.toString() && STATUS_LINE.containsMatchIn(text)
 }
--- a/gateway/src/main/kotlin/boragering/gateway/SkippedResponses.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/SkippedResponses.kt
@@ -5,12 +5,14 @@
 
 /**
  * Tracks the responses on a connection that precede the expected one: late responses to earlier requests, and
- * provisional ones. Their number and size are limited, because a faulty target could send them without end. Used on the
- * event loop only.
+ * provisional ones. Their number and size are limited, because a faulty target could send them without end. If one
+ * breaks off, the expected response would be read as its body, and the call would wait for its deadline; the head of
+ * that response in the body ends the connection instead. Used on the event loop only.
  */
 internal class SkippedResponses {
     private var responseCount = 0
     private var bytes = 0
+    private val heads = HeadSearch()
 
     /** Whether the next content belongs to a skipped response. */
     var inProgress = false
@@ -19,15 +21,20 @@
     /** Counts the head of a skipped response. Returns the reason to close the connection if there are too many. */
     fun onHead(): String? {
         inProgress = true
+        heads.restart()
         responseCount += 1
         return "more than $MAX_RESPONSES unexpected responses".takeIf { responseCount > MAX_RESPONSES }
     }
 
-    /** Counts body bytes of a skipped response. Returns the reason to close the connection if there are too many. */
+    /** Counts body bytes of a skipped response. Returns the reason to close the connection if they are not usable. */
     fun onContent(content: HttpContent): String? {
         bytes += content.content().readableBytes()
         if (content is LastHttpContent) inProgress = false
-        return "more than $MAX_BYTES bytes of unexpected responses".takeIf { bytes > MAX_BYTES }
+        return when {
+            bytes > MAX_BYTES -> "more than $MAX_BYTES bytes of unexpected responses"
+            heads.findIn(content) -> "an unexpected response broke off and was followed by another one"
+            else -> null
+        }
     }
 
     private companion object {
--- a/gateway/src/test/kotlin/boragering/gateway/ExtraBytesTest.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/ExtraBytesTest.kt
@@ -14,8 +14,24 @@
     val refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n\r\n"
     val success = "HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\nContent-Length: 4\r\n\r\ndone"
 
+    /** A response to the request r1, longer than the invalid one that follows a part of it. */
+    val late = success.replace("Content-Length: 4", "Content-Length: 180").dropLast(4) + "y".repeat(180)
+
     fun beginnings(response: String): List<String> = (1..response.length).map { response.take(it) }
 
+    /** Answers the second request with [status], after the bytes [extra] and [pause] milliseconds. */
+    fun lateThenInvalid(status: Int, extra: String, pause: Long) = ScriptedTarget { number ->
+        when {
+            number == 1 -> answer(200, "done")
+            pause == 0L -> answer(status, "x".repeat(100), before = extra)
+            else -> {
+                write(extra)
+                Thread.sleep(pause)
+                answer(status, "x".repeat(100))
+            }
+        }
+    }
+
     fun ranIds(target: ScriptedTarget): List<String?> = target.requests.map { it.header("id") }
 
     describe("extra bytes in the same write as a complete response") {
@@ -95,6 +111,37 @@
             }
         }
 
+        listOf(101 to 0L, 101 to 20L, 600 to 0L).forEach { (status, pause) ->
+            it("and break off $pause ms before status $status do not hide it (guards against waits for the deadline)") {
+                beginnings(late).filter { pause == 0L || it.length % 10 == 0 }.forEach { extra ->
+                    withClue(extra) {
+                        val target = lateThenInvalid(status, extra, pause)
+                        GatewayFixture(target).use { gateway ->
+                            gateway.clock.stop()
+                            gateway.caller().call("/non_idempotent/a").status shouldBe 200
+                            val next = gateway.caller().apply { id = "r2" }.call("/non_idempotent/a")
+                            next.status shouldBe 502
+                        }
+                        ranIds(target) shouldBe listOf("r1", "r2")
+                    }
+                }
+            }
+        }
+
+        it("and break off do not hide a refusal without an id (guards against waits for the deadline)") {
+            val target = ScriptedTarget { number ->
+                if (number == 2) write(late.dropLast(100) + refusal) else answer(200, "done")
+            }
+            GatewayFixture(target, ScriptedTarget { answer(200, "other") }).use { gateway ->
+                gateway.clock.stop()
+                generateSequence(1) { it + 1 }.first {
+                    val caller = gateway.caller().apply { id = "r$it" }
+                    caller.call("/idempotent/a").status shouldBe 200
+                    target.requests.size > 1
+                }
+            }
+        }
+
         it("do not turn a failure into a success (guards against MIXED)") {
             beginnings(success).forEach { extra ->
                 withClue(extra) {
--- a/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/GatewayFixture.kt
@@ -52,18 +52,29 @@
     failedInstance = "Failed-Instance",
 )
 
-/** The system clock with a monotonic time that a test can advance. */
+/** The system clock with a monotonic time that a test can advance, and stop. */
 internal class MovableClock : Clock by SystemClock {
     @Volatile
     private var advanced = Duration.ZERO
 
+    @Volatile
+    private var stoppedAt: Duration? = null
+
     /** How long the time takes to be read, which slows the steps of the event loop down. */
     @Volatile
     var readingMilliseconds = 0L
 
     override fun monotonic(): Duration {
         if (readingMilliseconds > 0) Thread.sleep(readingMilliseconds)
-        return SystemClock.monotonic() + advanced
+        return (stoppedAt ?: SystemClock.monotonic()) + advanced
+    }
+
+    /**
+     * Stops the time, which from now on moves by [advance] only. What a gateway then does, it does at once, however
+     * slow the machine is.
+     */
+    fun stop() {
+        stoppedAt = SystemClock.monotonic()
     }
 
     fun advance(time: Duration) {
