Wait in whole milliseconds for the timers of the event loop

Cause: Netty's NIO handler rounds the time until the next timer to the nearest millisecond. When it rounds down, the loop wakes up to 0.5 ms early and polls the selector without blocking until the timer is due. An idle gateway called epoll_pwait 105 times per second for 56 waits.

Change: the time is rounded up, so that a timer is less than 1 ms late.

--- a/gateway/src/main/kotlin/boragering/gateway/GatewayLoop.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayLoop.kt
@@ -15,7 +15,7 @@
  * would only add locking and context switches.
  */
 class GatewayLoop(private val clock: Clock) : AutoCloseable {
-    internal val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    internal val group = MultiThreadIoEventLoopGroup(1, WholeMillisecondWaits.factory(NioIoHandler.newFactory()))
     internal val eventLoop: EventLoop = group.next()
 
     /** The loop, for connections to other gateways, whose messages are then handled without waking another thread. */
