--- a/fleet/src/main/kotlin/boragering/fleet/ModelDemand.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ModelDemand.kt
@@ -64,7 +64,7 @@
 
     /** The models of which callers were rejected shortly before [now], with the groups that their demand fills. */
     fun shortages(now: Duration): Map<ModelName, Double> =
-        if (known(now)) groups.filterKeys { model -> shortUntil[model].let { it != null && it > now } } else emptyMap()
+        if (known(now)) groups.filterKeys { it in shortages.current(now) } else emptyMap()
 
     private fun neededShares(engine: EngineProfile, spareGroups: (ModelName) -> Double): Map<ModelName, Double> {
         val instances = engine.models.values.associate { model ->
--- a/fleet/src/main/kotlin/boragering/fleet/ModelShortages.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ModelShortages.kt
@@ -11,19 +11,25 @@
 internal class ModelShortages {
     private val shortages = HashMap<ModelName, Shortage>()
 
-    /** A shortage that counts [until]; [recurs] if it came back after the configured shares had returned. */
-    private class Shortage(val until: Duration, val recurs: Boolean)
+    /**
+     * A shortage whose last caller was rejected at [rejectedAt], and that counts [until]; [recurs] if it came back
+     * after the configured shares had returned.
+     */
+    private class Shortage(val rejectedAt: Duration, val until: Duration, val recurs: Boolean)
 
     /** Records that callers of [model] were rejected at [now]. */
     fun record(model: ModelName, now: Duration) {
         val last = shortages[model]
         val recurs = last != null && (if (now < last.until) last.recurs else now < last.until + RECURRENCE_TIME)
-        shortages[model] = Shortage(now + if (recurs) RECURRENT_MEMORY else MEMORY, recurs)
+        shortages[model] = Shortage(now, now + if (recurs) RECURRENT_MEMORY else MEMORY, recurs)
     }
 
     /** The models that are or have lately been short at [now]. */
     fun models(now: Duration): Set<ModelName> = shortages.filterValues { now < it.until }.keys
 
+    /** The models whose callers were rejected in the last 10 s before [now]. */
+    fun current(now: Duration): Set<ModelName> = shortages.filterValues { now < it.rejectedAt + MEMORY }.keys
+
     /** Whether the shortage of a model that is or has lately been short at [now] has come back. */
     fun recur(now: Duration): Boolean = shortages.values.any { it.recurs && now < it.until }
 
