--- a/adapters/src/main/kotlin/boragering/adapters/FreePorts.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/FreePorts.kt
@@ -9,25 +9,31 @@
  * Chooses loopback ports for processes whose settings name a port before they bind it, such as those of the class data
  * training run and of tests. The range lies below the one from which the system takes the local ends of connections and
  * the ports of listeners that ask for any (32768 and above), so that none of these takes a port before its process
- * binds it or while its process restarts.
+ * binds it or while its process restarts. Another Java process can still choose the same port.
  */
 object FreePorts {
     private const val FIRST = 12_000
     private const val LAST = 30_000
+    private const val ATTEMPTS = 10_000
 
     /** Bounded, so that a long run does not exhaust the range. */
     private const val REMEMBERED = 4_000
-    private val given = LinkedHashSet<Int>()
+    private val recentlyChosen = LinkedHashSet<Int>()
 
-    /** A port that nothing listens on and that was not among the last 4,000 ones given out by this Java process. */
+    /**
+     * A port that nothing listens on and that was not among the last 4,000 ones chosen by this Java process.
+     *
+     * @throws NoSuchElementException if none of 10,000 random ports is free.
+     */
     @Synchronized
     fun next(): Int = generateSequence { Random.nextInt(FIRST, LAST + 1) }
-        .first { it !in given && isFree(it) }
+        .take(ATTEMPTS)
+        .first { it !in recentlyChosen && isFree(it) }
         .also(::remember)
 
     private fun remember(port: Int) {
-        given += port
-        if (given.size > REMEMBERED) given -= given.first()
+        recentlyChosen += port
+        if (recentlyChosen.size > REMEMBERED) recentlyChosen -= recentlyChosen.first()
     }
 
     private fun isFree(port: Int): Boolean = try {
--- a/fleet/src/main/kotlin/boragering/fleet/AdmissionQueue.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/AdmissionQueue.kt
@@ -39,7 +39,7 @@
         val order = classes.getValue(key)
         order.remove(entry)
         if (order.size == 0) classes.remove(key)
-        classes.values.forEach { it.onServed(entry.organisation) }
+        classes.values.forEach { it.onRankChanged(entry.organisation) }
         return true
     }
 
--- a/fleet/src/main/kotlin/boragering/fleet/Configuration.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/Configuration.kt
@@ -108,8 +108,8 @@
  * @property formationTime time from the order to open the head of a complete group until the group serves.
  * @property reportLag age of the data that engines report about themselves.
  * @property delays the delays between availability zones; `null` if they are not configured.
- * @property crossDomainSlowdown how many times slower a group runs whose members are in different fabric domains;
- * `null` if it is not configured, so that no such groups are formed.
+ * @property crossDomainSlowdown how many times slower a group runs whose members are in different fabric domains, 1 or
+ * more; `null` if it is not configured, so that no such groups are formed.
  */
 data class EngineProfile(
     val slots: Int,
--- a/fleet/src/main/kotlin/boragering/fleet/ConfigurationDifferences.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ConfigurationDifferences.kt
@@ -27,7 +27,7 @@
         if (old is ComparedValue.Keys && new is ComparedValue.Keys) {
             val removed = masked(old.keys - new.keys, "removed")
             val added = masked(new.keys - old.keys, "added")
-            FieldDifference(name, removed, added).takeIf { removed != null || added != null }
+            FieldDifference(name, removed, added).takeIf { old.keys != new.keys }
         } else {
             FieldDifference(name, shown(old), shown(new)).takeIf { old != new }
         }
@@ -39,6 +39,6 @@
     }
 
     /** Different keys can have the same masked form, so that [change] tells what became of them. */
-    private fun masked(keys: Set<String>, change: String): String? =
-        if (keys.isEmpty()) null else keys.sorted().joinToString(postfix = " ($change)") { KeyMask.of(it) }
+    private fun masked(keys: Set<String>, change: String): String =
+        if (keys.isEmpty()) "no key $change" else keys.sorted().joinToString(postfix = " ($change)") { KeyMask.of(it) }
 }
--- a/fleet/src/main/kotlin/boragering/fleet/GroupComposer.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupComposer.kt
@@ -12,7 +12,7 @@
  * @property free the instances of each domain that belong to no group.
  * @property waiting domains in which no group is formed now, because more instances will soon be listed or free there.
  * @property usable number of serving instances of each domain.
- * @property assigned number of instances of each model in groups that are not ending.
+ * @property assigned number of instances of each model in groups within a domain that are not ending.
  * @property staging the models that instances are staging on their hosts.
  */
 internal class CompositionInput(
@@ -26,6 +26,14 @@
     /** Number of instances of [domain] that are kept out of groups, so that they can replace lost members. */
     fun sparesOf(domain: FabricDomain): Int = (usable[domain] ?: 0) / INSTANCES_PER_SPARE
 
+    /** Whether a group of [model] leaves enough of the [free] instances of [domain] to replace lost members. */
+    fun leavesSpares(model: ModelProfile, domain: FabricDomain, free: Int): Boolean =
+        free - model.groupSize >= sparesOf(domain)
+
+    /** Whether [model] has fewer instances in groups than its share of the work needs. */
+    fun lacksGroups(model: ModelProfile): Boolean =
+        (assigned[model.name] ?: 0) < usable.values.sumOf(model::instancesInGroups)
+
     /** How much it costs that [instance] joins a group of [model]; a weight load costs most. */
     fun joinCost(instance: Instance, model: ModelName): Int = when {
         model in instance.loaded -> 0
@@ -40,7 +48,10 @@
         private const val STAGING_COST = 2
         private const val LOAD_COST = 10
 
-        /** The input for the [state] of a pool at [now], with the models that instances are [staging]. */
+        /**
+         * The input for the [state] of a pool at [now]: its instances outside [formations], the domains that [growth]
+         * expects to grow, and the models that instances are [staging].
+         */
         fun of(
             formations: FormationRegistry,
             growth: PoolGrowthTracker,
@@ -67,7 +78,7 @@
 /**
  * Decides which groups to form from the free instances, and which models the remaining spare instances stage.
  *
- * All members of a group are in one fabric domain; a [CrossDomainPlan] decides on other groups. Models get instances in
+ * Forms groups within one fabric domain only; a [CrossDomainPlan] decides on others. Models get instances in
  * proportion to their share of the work. Weight loads are scarce: the weight store serves only a few at a time, and
  * each takes many times as long as a warm-up. Therefore a group is formed only once all its members hold the weights.
  * Until then the instances stay free for any group that can be formed earlier. Each domain keeps spare instances to
@@ -134,7 +145,7 @@
 
     private fun option(model: ModelProfile, domain: FabricDomain): GroupOption? {
         val instances = free.getValue(domain)
-        if (instances.size - model.groupSize < input.sparesOf(domain)) return null
+        if (!input.leavesSpares(model, domain, instances.size)) return null
         val members = instances.sortedBy { input.joinCost(it, model.name) }.take(model.groupSize)
         return GroupOption(model, domain, members, ready = members.all { it.holds(model.name) })
     }
--- a/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/GroupPlanner.kt
@@ -101,12 +101,7 @@
             growth.isStable(now) -> composer.composeInitial()
             else -> emptyList()
         }
-        val plan = CrossDomainPlan(input, formations.all, state)
-        endCrossing(plan, now)
-        // The first groups of a pool use its instances better than groups across domains.
-        val divided = compositions.isEmpty() && (!formations.neverHadGroups || growth.isStable(now))
-        val crossing = if (divided) plan.compose(composer.spares) else null
-        crossing?.let { composer.take(it.members) }
+        val crossing = if (compositions.isEmpty()) acrossDomains(input, composer, state, now) else null
         val formed = (compositions + listOfNotNull(crossing)).flatMap { form(it, state, now) }
         val permits = permits(state, now)
         val staged = spares.stage(composer, state, now) { permits.tryAcquire(it) }
@@ -117,12 +112,25 @@
         return formed + staged + reserved + warmed
     }
 
-    /** Ends the groups across domains that have been replaced. */
-    private fun endCrossing(plan: CrossDomainPlan, now: Duration) =
-        plan.ending().forEach { (formation, reason) ->
+    /**
+     * Ends a group across domains that has been replaced, or else returns one that is to be formed. The first groups of
+     * a pool are formed within domains, which uses its instances better.
+     */
+    private fun acrossDomains(
+        input: CompositionInput,
+        composer: GroupComposer,
+        state: PoolState,
+        now: Duration,
+    ): Composition? {
+        val plan = CrossDomainPlan(input, formations.all, state)
+        val ending = plan.ending()
+        ending?.let { (formation, reason) ->
             formation.end(now, reason, lost = false)
             decisions += PlanningDecision(formation.group, "group-ends", reason)
         }
+        val mayForm = ending == null && (!formations.neverHadGroups || growth.isStable(now))
+        return if (mayForm) plan.compose(composer.spares)?.also { composer.take(it.members) } else null
+    }
 
     private fun regroup(input: CompositionInput, state: PoolState, now: Duration) {
         val reassignment = RegroupingPlan(input, formations.serving, state).choose() ?: return
@@ -136,8 +144,10 @@
         val members = composition.members.toPersistentList()
         val formation = Formation(group, composition.model, members, now, adopted = false)
         formations.add(formation)
-        decisions +=
-            PlanningDecision(group, "group-formed", "${composition.model} of ${members.joinToString { it.id.value }}")
+        val domains = members.map { it.groupDomain }.distinct()
+        val across = if (domains.size > 1) " across domains ${domains.joinToString { it.value }}" else ""
+        val ids = members.joinToString { it.id.value }
+        decisions += PlanningDecision(group, "group-formed", "${composition.model} of $ids$across")
         return advance(formation, state, now)
     }
 }
--- a/fleet/src/main/kotlin/boragering/fleet/ModelDemand.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ModelDemand.kt
@@ -52,19 +52,21 @@
      */
     fun apply(engine: EngineProfile, now: Duration): EngineProfile {
         if (!known(now) || engine.models.keys != groups.keys) return engine
-        val short = shortages.models(now)
+        val rejecting = shortages.rejectedRecently(now)
+        val oneSided = rejecting.isNotEmpty() && rejecting.size < engine.models.size
+        val short = if (oneSided) rejecting else shortages.models(now)
         val unequal = short.isNotEmpty() && short.size < engine.models.size
         val needed = neededShares(engine) { if (!unequal || it in short) SPARE_GROUPS else 0.0 }
         val tolerated = if (following) TOLERATED_WHEN_FOLLOWING else TOLERATED_MISMATCH
         // Where all models are short in turn, groups would otherwise be dissolved and formed again each time.
-        val kept = following && shortages.recur(now)
+        val kept = following && shortages.anyRecurs(now)
         following = unequal || kept || mismatch(engine, needed) > tolerated
         return if (following) engine.withShares(needed) else engine
     }
 
     /** The models of which callers were rejected shortly before [now], with the groups that their demand fills. */
     fun shortages(now: Duration): Map<ModelName, Double> =
-        if (known(now)) groups.filterKeys { it in shortages.current(now) } else emptyMap()
+        if (known(now)) groups.filterKeys { it in shortages.rejectedRecently(now) } else emptyMap()
 
     private fun neededShares(engine: EngineProfile, spareGroups: (ModelName) -> Double): Map<ModelName, Double> {
         val instances = engine.models.values.associate { model ->
--- a/fleet/src/main/kotlin/boragering/fleet/ModelShortages.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/ModelShortages.kt
@@ -13,7 +13,7 @@
 
     /**
      * A shortage whose last caller was rejected at [rejectedAt], and that counts [until]; [recurs] if it came back
-     * after the configured shares had returned.
+     * within a minute of its end.
      */
     private class Shortage(val rejectedAt: Duration, val until: Duration, val recurs: Boolean)
 
@@ -28,10 +28,10 @@
     fun models(now: Duration): Set<ModelName> = shortages.filterValues { now < it.until }.keys
 
     /** The models whose callers were rejected in the last 10 s before [now]. */
-    fun current(now: Duration): Set<ModelName> = shortages.filterValues { now < it.rejectedAt + MEMORY }.keys
+    fun rejectedRecently(now: Duration): Set<ModelName> = shortages.filterValues { now < it.rejectedAt + MEMORY }.keys
 
     /** Whether the shortage of a model that is or has lately been short at [now] has come back. */
-    fun recur(now: Duration): Boolean = shortages.values.any { it.recurs && now < it.until }
+    fun anyRecurs(now: Duration): Boolean = shortages.values.any { it.recurs && now < it.until }
 
     /** Drops all models but [models]. */
     fun retain(models: Set<ModelName>) {
--- a/fleet/src/main/kotlin/boragering/fleet/OrganisationOrder.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/OrganisationOrder.kt
@@ -48,8 +48,8 @@
         outdated -= waiting
     }
 
-    /** Has the rank of [organisation] computed again, because it has been served. */
-    fun onServed(organisation: OrganisationName?) {
+    /** Has the rank of [organisation] computed again, because one of its requests has left the queue. */
+    fun onRankChanged(organisation: OrganisationName?) {
         organisations[organisation]?.let(outdated::add)
     }
 
--- a/fleet/src/main/kotlin/boragering/fleet/PaceComparison.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/PaceComparison.kt
@@ -2,7 +2,10 @@
 
 import kotlin.time.Duration
 
-/** Compares the pace of each of [candidates], which serve the same service and model, with their median. */
+/**
+ * Compares the pace of each of [candidates], which serve the same service and model, with their median. The gaps of a
+ * target that is slower by its composition are divided by its slowdown before.
+ */
 class PaceComparison(candidates: List<Candidate>) {
     private val usualGap: Duration?
 
@@ -31,7 +34,8 @@
     /** Whether the events of [candidate] come later than [targetGap] allows while those of other targets do not. */
     fun tooLate(candidate: Candidate, targetGap: Duration?): Boolean {
         val gap = candidate.pace?.gap ?: usualGap?.times(candidate.target.slowdown)
-        return targetGap != null && gap != null && factor(candidate) > USUAL && gap > targetGap
+        val slower = factor(candidate) > USUAL && (usualGap == null || usualGap <= (targetGap ?: usualGap))
+        return targetGap != null && gap != null && slower && gap > targetGap
     }
 
     /** The pace of most targets. */
--- a/fleet/src/main/kotlin/boragering/fleet/QueuedRequest.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/QueuedRequest.kt
@@ -6,7 +6,7 @@
 internal class QueuedRequest(val request: PendingRequest, val number: Long) {
     val organisation: OrganisationName? get() = request.admission.organisation
 
-    /** Orders. */
+    /** Sort orders. */
     companion object {
         val BY_DEADLINE = compareBy<QueuedRequest>({ it.request.admission.deadline }, { it.number })
         val BY_WAIT_END = compareBy<QueuedRequest>({ it.request.admission.waitUntil }, { it.number })
--- a/fleet/src/main/kotlin/boragering/fleet/RejectedCallers.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/RejectedCallers.kt
@@ -5,7 +5,9 @@
 
 /**
  * The callers that this gateway has rejected, so that a first attempt that arrives late is not taken for a repetition
- * where no other gateway can have rejected it. All attempts of a caller have the same deadline. Not thread-safe.
+ * where this is the only gateway. A caller is recognised by its organisation, its urgency and its deadline, which all
+ * its attempts share. An attempt whose transit takes over 5 ms longer is not recognised, nor is one after a restart;
+ * where a caller waits longer than the route's timeout allows, deadlines differ. Not thread-safe.
  */
 class RejectedCallers {
     private val callers = RecentMap<Caller, Unit>(MAX_CALLERS)
--- a/fleet/src/main/kotlin/boragering/fleet/RouteCallers.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/RouteCallers.kt
@@ -40,7 +40,7 @@
         atHighest = DecayingSum(WINDOW)
     }
 
-    /** Limits of the differences. */
+    /** Limits by which the times left are compared. */
     companion object {
         /** Differences between the times that first attempts have left. */
         val NOISE = 50.milliseconds
--- a/fleet/src/main/kotlin/boragering/fleet/TargetChoice.kt
+++ b/fleet/src/main/kotlin/boragering/fleet/TargetChoice.kt
@@ -59,7 +59,7 @@
             CandidateLoad(it, expected, paces.factor(it), paces.tooLate(it, context.targetGap))
         }
         val limit = if (context.repeated) MAX_OCCUPANCY_FOR_REPEATED else context.occupancyLimit
-        val usable = loads.filter { it.candidate.target.group == null || it.occupancy < limit * fillable(it) }
+        val usable = loads.filter { it.candidate.target.group == null || it.occupancy < limit * limitFraction(it) }
         val narrowed = context.zones?.let { zoneChoice.narrow(loads, usable, context, it) } ?: usable
         val chosen = narrowed.minByOrNull(::cost)
         return when {
@@ -69,9 +69,9 @@
         }
     }
 
-    /** The part of the occupancy limit up to which a target is filled. */
-    private fun fillable(load: CandidateLoad): Double =
-        if (load.candidate.target.slowdown > 1) SLOWER_GROUP_LIMIT else 1.0
+    /** The fraction of the occupancy limit up to which a target is filled. */
+    private fun limitFraction(load: CandidateLoad): Double =
+        maxOf(SLOW_GROUP_LIMIT_FRACTION, 1 / load.candidate.target.slowdown)
 
     private fun occupancies(candidates: List<Candidate>, context: ChoiceContext): (Candidate) -> Double {
         val zones = context.zones ?: return LoadEstimate(candidates, context.gateways, context.now)::occupancy
@@ -99,7 +99,7 @@
         private const val MAX_OCCUPANCY_FOR_REPEATED = 2.0
 
         /** A slower group also reads prompts more slowly, so that the first events come late before it is full. */
-        private const val SLOWER_GROUP_LIMIT = 0.6
+        private const val SLOW_GROUP_LIMIT_FRACTION = 0.6
 
         /** Occupancy that counts for a request that has been waiting for its whole target latency. */
         private const val OCCUPANCY_PER_TARGET_LATENCY = 0.5
--- a/gateway/src/main/kotlin/boragering/gateway/ResponseFraming.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ResponseFraming.kt
@@ -11,7 +11,7 @@
     private const val VERSION = "HTTP/1."
     private val VERSION_BYTES = VERSION.toByteArray()
 
-    /** A faulty target may also send a status that no response can have, such as 600. */
+    /** A status line up to its status, which may be one that no response can have, such as 600. */
     private val STATUS_LINE = Regex("HTTP/1\\.[01] [0-9]{3}")
 
     /** Number of bytes of a status line up to its status. */
--- a/gateway/src/main/kotlin/boragering/gateway/SkippedResponses.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/SkippedResponses.kt
@@ -12,7 +12,7 @@
 internal class SkippedResponses {
     private var responseCount = 0
     private var bytes = 0
-    private val heads = HeadSearch()
+    private val statusLines = StatusLineSearch()
 
     /** Whether the next content belongs to a skipped response. */
     var inProgress = false
@@ -21,7 +21,7 @@
     /** Counts the head of a skipped response. Returns the reason to close the connection if there are too many. */
     fun onHead(): String? {
         inProgress = true
-        heads.restart()
+        statusLines.restart()
         responseCount += 1
         return "more than $MAX_RESPONSES unexpected responses".takeIf { responseCount > MAX_RESPONSES }
     }
@@ -32,7 +32,7 @@
         if (content is LastHttpContent) inProgress = false
         return when {
             bytes > MAX_BYTES -> "more than $MAX_BYTES bytes of unexpected responses"
-            heads.findIn(content) -> "an unexpected response broke off and was followed by another one"
+            statusLines.append(content) -> "an unexpected response broke off and was followed by another one"
             else -> null
         }
     }
--- a/gateway/src/main/kotlin/boragering/gateway/WholeMillisecondWaits.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/WholeMillisecondWaits.kt
@@ -8,7 +8,8 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * Makes an event loop wait for its timers in whole milliseconds, rounded up, so that a timer runs less than 1 ms late.
+ * Makes an event loop wait for its timers in whole milliseconds, rounded up, so that a timer runs less than 1 ms
+ * later than it would otherwise.
  *
  * Netty's NIO handler rounds the time until the next timer to the nearest millisecond. When it rounds down, the loop
  * wakes up to 0.5 ms early and polls the selector without blocking until the timer is due.
