--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -27,13 +27,18 @@
         long until;
     }
 
-    private record Event(long revision, String json, String key) {
+    private record Event(long revision, String json, String key, long at) {
     }
 
+    private static final long HISTORY_NANOS = 20_000_000_000L;
+
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final Map<Long, Lease> leases = new HashMap<>();
     private final List<Event> history = new ArrayList<>();
     private long revision = 100;
+
+    /** The last revision that the history no longer has. */
+    private long forgotten = 100;
     private long nextLease = 7000;
     private final Http.Server server;
 
@@ -54,20 +59,22 @@
         return change(key, text == null ? null : Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8)), 0);
     }
 
+
     private long change(String key, String value, long lease) {
         revision++;
         Item item = items.computeIfAbsent(key, k -> new Item());
         if (value == null) {
             items.remove(key);
             history.add(new Event(revision,
-                "{\"Key\":" + Json.quote(key) + ",\"Revision\":" + revision + ",\"Deleted\":true}", key));
+                "{\"Key\":" + Json.quote(key) + ",\"Revision\":" + revision + ",\"Deleted\":true}", key, System.nanoTime()));
         } else {
             if (item.created == 0) item.created = revision;
             item.value = value;
             item.revision = revision;
             item.lease = lease;
-            history.add(new Event(revision, json(key, item), key));
+            history.add(new Event(revision, json(key, item), key, System.nanoTime()));
         }
+        while (System.nanoTime() - history.get(0).at > HISTORY_NANOS) forgotten = history.remove(0).revision;
         notifyAll();
         return revision;
     }
@@ -165,6 +172,7 @@
         long after = Long.parseLong(query.get("After"));
         long end = start + Long.parseLong(query.get("WaitMs"));
         while (true) {
+            if (after < forgotten) return reply(410, "{}");
             List<String> events = new ArrayList<>();
             for (Event event : history) {
                 boolean wanted = event.revision > after && event.key.startsWith(query.getOrDefault("Prefix", ""));
