--- a/review/standins-2/ConfigStorms.java
+++ b/review/standins-2/ConfigStorms.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -15,16 +16,17 @@
 /** A configuration with many routes changes in several storms. */
 final class ConfigStorms {
     private static final int GATEWAYS = 2;
-    private static final int CONSUMERS = 10;
+    private static final int REPLICAS = 3;
+    private static final int CONSUMERS = 16;
     private static final int BODY_BYTES = 600;
     private static final int DEADLINE_MS = 4_000;
-    private static final int WORK_MS = 400;
-    private static final int ROUTES = 1_680 + 240;
-    private static final int STORMS = 8;
+    private static final int WORK_MS = 1_000;
+    private static final int ROUTES = 1_680 + 1_380 + 240;
+    private static final int STORMS = 9;
     private static final int STORM_MS = 4_000;
     private static final int GAP_MS = 330;
     private static final int PAUSE_MS = 6_000;
-    private static final int LENGTH_S = 90;
+    private static final int LENGTH_S = 92;
 
     private static final Set<String> RUN = ConcurrentHashMap.newKeySet();
     private static final AtomicInteger ANSWERED = new AtomicInteger();
@@ -41,8 +43,11 @@
         record = new Record(Path.of(arguments[0], "record.txt"));
         Store store = new Store();
         store.put("op/config", configuration(7));
-        Http.Server replica = new Http.Server(0, 0, ConfigStorms::serve);
-        store.put("servers/i-7f3a91c2", Configuration.server(replica.port(), "ready", 1, System.currentTimeMillis()));
+        for (int number = 0; number < REPLICAS; number++) {
+            Http.Slots slots = new Http.Slots(18);
+            Http.Server replica = new Http.Server(0, 0, (head, in, out, socket) -> slots.serve(head, in, out, socket, ConfigStorms::serve));
+            store.put("servers/i-7f3a91c" + number, Configuration.server(replica.port(), "ready", 1, System.currentTimeMillis()));
+        }
         List<Gateway> gateways = new ArrayList<>();
         for (int number = 0; number < GATEWAYS; number++) gateways.add(new Gateway("front-sapporo-" + number, store.port(), folder));
         int result = 2;
@@ -97,12 +102,14 @@
         StringBuilder routes = new StringBuilder();
         for (int number = 0; number < ROUTES; number++) {
             routes.append("""
-                {"Name":"V\u0113jr\u0101dis-%05d","Host":"ficu95.example","Prefix":"/cufi%05d/","Kind":"idempotent",\
-                "TimeoutMs":%d,"TargetLatencyMs":386,"Priority":1,"TrafficSplit":[{"Service":"wuno96b","Weight":90},\
-                {"Service":"wuno96b","Weight":10}],"Attempts":2,"Public":false,"StickySessions":false},\
+                {"Name":"r-2yhvz%05d","Host":"ficu95.example","Prefix":"/cufi%05d/","Kind":"streaming","TimeoutMs":%d,\
+                "TargetLatencyMs":500,"Priority":1,"TrafficSplit":[{"Service":"wuno96b","Weight":90},\
+                {"Service":"huvo11a","Weight":10}],"Attempts":2,"Public":false,"StickySessions":true,"Resumable":true,\
+                "TargetGapMs":300},\
                 """.formatted(number, number, 2_000 + version));
         }
-        return Configuration.text(version).replace("\"Routes\":[", "\"Routes\":[" + routes);
+        String second = "\"Services\":[{\"Name\":\"huvo11a\",\"HealthCheckPath\":\"/health\",\"MaxConnections\":96},";
+        return Configuration.text(version).replace("\"Routes\":[", "\"Routes\":[" + routes).replace("\"Services\":[", second);
     }
 
     /** Starts the process again when it has ended, as the platform does. */
@@ -152,7 +159,7 @@
                     Http.readBody(answer, socket.getInputStream());
                     record.line("consumer %s gets %s for %s", consumer, answer.line, id);
                     ANSWERED.incrementAndGet();
-                    pause(100);
+                    pause(ThreadLocalRandom.current().nextInt(200));
                     if ("close".equalsIgnoreCase(answer.get("connection"))) break;
                 }
             } catch (Exception failure) {
--- a/review/standins-2/Http.java
+++ b/review/standins-2/Http.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
 
 /** Plain HTTP/1.1 over blocking sockets, for stand-ins and callers. */
 final class Http {
@@ -164,6 +165,33 @@
         }
     }
 
+    /** The slots of a replica, which queues as many requests more and sheds the rest. */
+    static final class Slots {
+        private final Semaphore free;
+        private final int queue;
+
+        Slots(int count) {
+            free = new Semaphore(count, true);
+            queue = count;
+        }
+
+        /** Serves the request while it holds a slot, or sheds it. */
+        boolean serve(Head head, InputStream in, OutputStream out, Socket socket, Handler work) throws Exception {
+            if (free.availablePermits() == 0 && free.getQueueLength() >= queue) {
+                readExactly(in, head.length());
+                out.write(response(503, "Attempt-Id: " + head.get("attempt-id") + "\r\nNot-Executed: 1\r\n", ""));
+                out.flush();
+                return true;
+            }
+            free.acquire();
+            try {
+                return work.serve(head, in, out, socket);
+            } finally {
+                free.release();
+            }
+        }
+    }
+
     static Thread daemon(Runnable action) {
         Thread thread = new Thread(action);
         thread.setDaemon(true);
--- a/review/standins-2/MemoryWaiters.java
+++ b/review/standins-2/MemoryWaiters.java
@@ -20,7 +20,7 @@
     private static final int LARGE_CONSUMERS = 40;
     private static final int WORK_MS = 700;
     private static final int SMALL_BYTES = 600;
-    private static final int CONSUMERS = 300;
+    private static final int CONSUMERS = 214;
     private static final int DEADLINE_MS = 4_000;
     private static final int REPLICAS = 3;
 
@@ -62,7 +62,8 @@
         record = new Record(Path.of(arguments[0], "record.txt"));
         Store store = new Store();
         store.put("op/config", configuration());
-        Http.Server large = new Http.Server(0, 0, MemoryWaiters::serveLarge);
+        Http.Slots slots = new Http.Slots(18);
+        Http.Server large = new Http.Server(0, 0, (head, in, out, socket) -> slots.serve(head, in, out, socket, MemoryWaiters::serveLarge));
         List<Http.Server> small = new ArrayList<>();
         String service = Configuration.server(large.port(), "ready", 1, System.currentTimeMillis());
         store.put("servers/i-55ae01d7", service.replace("wuno96b", "huvo11a"));
@@ -124,7 +125,8 @@
     private static void startSmall(Store store, List<Http.Server> servers, int life) throws Exception {
         servers.clear();
         for (int number = 0; number < REPLICAS; number++) {
-            Http.Server server = new Http.Server(0, 0, MemoryWaiters::serveSmall);
+            Http.Slots slots = new Http.Slots(64);
+            Http.Server server = new Http.Server(0, 0, (head, in, out, socket) -> slots.serve(head, in, out, socket, MemoryWaiters::serveSmall));
             servers.add(server);
             String entry = Configuration.server(server.port(), "ready", 1, System.currentTimeMillis());
             store.put(serverKey(life, number), entry.replace("\"Slots\":18", "\"Slots\":64"));
--- a/review/standins-2/TruncatedAnswer.java
+++ b/review/standins-2/TruncatedAnswer.java
@@ -9,7 +9,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -19,6 +19,11 @@
     private static final int REQUESTS = 3;
     private static final int BODY_BYTES = 4_000_000;
 
+    private static final int REPLICAS = 6;
+
+    /** The replicas that have written the first half of an answer. */
+    private static final LinkedBlockingQueue<Running> BEGUN = new LinkedBlockingQueue<>();
+
     private TruncatedAnswer() {
     }
 
@@ -33,43 +38,31 @@
         int result = 2;
         try {
             gateway.start();
-            int truncated = 0;
-            int whole = 0;
+            AtomicInteger bad = new AtomicInteger();
+            AtomicInteger good = new AtomicInteger();
+            List<Running> replicas = new ArrayList<>();
+            for (int number = 0; number < REPLICAS; number++) replicas.add(new Running(number, store, started, record));
+            if (!gateway.awaitReady(20)) throw new IllegalStateException("the gateway is not ready");
+            Thread.sleep(2_000);
             for (int round = 1; round <= ROUNDS; round++) {
-                Process replica = new ProcessBuilder("java", "-cp", "target/review-2", "review2.EarlyReplica")
-                    .redirectError(ProcessBuilder.Redirect.INHERIT).start();
-                started.add(replica);
-                Runtime.getRuntime().addShutdownHook(new Thread(replica::destroyForcibly));
-                BufferedReader output = new BufferedReader(new InputStreamReader(replica.getInputStream()));
-                int port = Integer.parseInt(output.readLine());
-                String id = "i-7f3a91c" + round;
-                store.put("servers/" + id, Configuration.server(port, "ready", 1, System.currentTimeMillis()));
-                if (!gateway.awaitReady(20)) throw new IllegalStateException("the gateway is not ready");
-                Thread.sleep(1_500);
-                CountDownLatch half = new CountDownLatch(REQUESTS);
-                Http.daemon(() -> output.lines().forEach(line -> {
-                    record.line("replica %s: %s", id, line);
-                    if (line.startsWith("half")) half.countDown();
-                }));
-                AtomicInteger bad = new AtomicInteger();
-                AtomicInteger good = new AtomicInteger();
+                BEGUN.clear();
                 List<Thread> callers = new ArrayList<>();
                 for (int number = 1; number <= REQUESTS; number++) {
                     String attempt = "9c41d07be2a3" + round + "00" + number;
                     callers.add(Http.daemon(() -> call(gateway, attempt, record, bad, good)));
                 }
-                if (trouble && half.await(8, TimeUnit.SECONDS)) {
+                Running begun = BEGUN.poll(8, TimeUnit.SECONDS);
+                if (trouble && begun != null) {
                     Thread.sleep(300);
-                    record.line("replica %s is killed", id);
-                    replica.destroyForcibly().waitFor();
+                    record.line("replica %s is killed", begun.id);
+                    begun.process.destroyForcibly().waitFor();
                 }
                 for (Thread caller : callers) caller.join(12_000);
-                replica.destroyForcibly().waitFor();
-                store.put("servers/" + id, null);
-                truncated += bad.get();
-                whole += good.get();
-                Thread.sleep(300);
+                if (trouble && begun != null) store.put("servers/" + begun.id, null);
+                Thread.sleep(1_000);
             }
+            int truncated = bad.get();
+            int whole = good.get();
             record.line("complete answers %d, truncated answers passed on as complete successes %d", whole, truncated);
             boolean ran = trouble || whole == ROUNDS * REQUESTS;
             result = truncated > 0 ? 1 : ran ? 0 : 2;
@@ -83,6 +76,27 @@
         System.exit(result);
     }
 
+    /** A process of a replica. */
+    private static final class Running {
+        final String id;
+        final Process process;
+
+        Running(int number, Store store, List<Process> started, Record record) throws Exception {
+            id = "i-7f3a91c" + number;
+            process = new ProcessBuilder("java", "-Xmx64m", "-cp", "target/review-2", "review2.EarlyReplica")
+                .redirectError(ProcessBuilder.Redirect.INHERIT).start();
+            started.add(process);
+            Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+            BufferedReader output = new BufferedReader(new InputStreamReader(process.getInputStream()));
+            int port = Integer.parseInt(output.readLine());
+            store.put("servers/" + id, Configuration.server(port, "ready", 1, System.currentTimeMillis()));
+            Http.daemon(() -> output.lines().forEach(line -> {
+                record.line("replica %s: %s", id, line);
+                if (line.startsWith("half")) BEGUN.add(this);
+            }));
+        }
+    }
+
     private static void call(Gateway gateway, String id, Record record, AtomicInteger bad, AtomicInteger good) {
         try (Socket socket = new Socket("127.0.0.1", gateway.front)) {
             socket.setSoTimeout(10_000);
