--- a/review/standins-2/MemoryWaiters.java
+++ b/review/standins-2/MemoryWaiters.java
@@ -135,6 +135,7 @@
 
     private static boolean serveLarge(Http.Head head, InputStream in, OutputStream out, Socket socket) throws Exception {
         Http.readExactly(in, head.length());
+        record.line("large replica runs %s", head.get("attempt-id"));
         out.write(Http.ascii("HTTP/1.1 200 OK\r\nAttempt-Id: " + head.get("attempt-id")
             + "\r\nResponse-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nContent-Length: " + LARGE_BYTES + "\r\n\r\n"));
         out.flush();
@@ -160,6 +161,7 @@
             String id = "9c41%04x%08x".formatted(sender, number);
             try (Socket socket = new Socket("127.0.0.1", gateway.front)) {
                 socket.setSoTimeout(15_500);
+                record.line("large consumer %d sends %s", sender, id);
                 OutputStream out = socket.getOutputStream();
                 out.write(Http.ascii(Configuration.head("POST", Configuration.STREAM, id, 15_000, LARGE_BYTES)));
                 out.write(new byte[LARGE_BYTES]);
