Limit the documents and their history in bytes

Cause: ChangeHistory kept the last 1,500 changes for other gateways, each with the whole text of its document. All gateways see the same changes, so they run out of heap together.

Change: the history holds the latest change of each document, which is all that anybody is ever told, and is limited in bytes. So are the documents and the superseded versions, which were held by number or without a limit. A document beyond the limit is held without its content until there is room, and is then read again; meanwhile this gateway tells others no documents, so that it degrades alone. Each limit has a log line and a counter.

--- a/gateway/src/main/kotlin/boragering/gateway/DocumentMirror.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DocumentMirror.kt
@@ -12,6 +12,47 @@
     fun onChange(change: DocumentChange)
 }
 
+/**
+ * Limits of a [DocumentMirror], which keep it from exhausting the heap however much is written to the store.
+ *
+ * @property documentBytes memory of all documents, in bytes. The content of a document beyond it counts as unreadable.
+ * @property historyBytes memory of the changes that are kept for other gateways, in bytes. Gateways that lack older
+ *   ones have to read the store.
+ * @property supersededBytes memory of the versions by which documents of a restored store are recognised as outdated,
+ *   in bytes. Versions beyond it come back into force until they are written again.
+ */
+data class DocumentLimits(
+    val documentBytes: Long = Runtime.getRuntime().maxMemory() / HEAP_SHARE_FOR_DOCUMENTS,
+    val historyBytes: Long = Runtime.getRuntime().maxMemory() / HEAP_SHARE_FOR_HISTORY,
+    val supersededBytes: Long = Runtime.getRuntime().maxMemory() / HEAP_SHARE_FOR_SUPERSEDED,
+) {
+    private companion object {
+        /** Bodies have a third of the heap, and a read holds all documents beside those that it replaces. */
+        const val HEAP_SHARE_FOR_DOCUMENTS = 4
+
+        /** The history shares most of its texts with the documents. */
+        const val HEAP_SHARE_FOR_HISTORY = 12
+
+        /** Room for some thousand entries of usual length. */
+        const val HEAP_SHARE_FOR_SUPERSEDED = 24
+    }
+}
+
+/** Receives what a [DocumentMirror] drops because of its [DocumentLimits]. */
+interface DocumentLimitListener {
+    /** Called when older changes were dropped, so that the history begins at [start]. */
+    fun onHistoryCut(start: StoreRevision) = Unit
+
+    /** Called when older versions of documents were forgotten, so that a restored store may bring them back. */
+    fun onSupersededCut() = Unit
+
+    /** Called when the content of [document] was dropped. */
+    fun onContentDropped(document: StoredValue) = Unit
+
+    /** Ignores all events. */
+    object None : DocumentLimitListener
+}
+
 /** What a [DocumentMirror] has to know of the contents of documents. */
 fun interface DocumentRules {
     /** Whether [written] is equivalent to [known], an earlier version of the same document. */
@@ -32,15 +73,19 @@
  * be outdated and that their writers will write again. These are withheld until the document is written, or until
  * [releaseWithheld]. Used on the event loop only.
  *
+ * Documents and changes are limited by [limits]; [limitListener] receives what is dropped because of them.
+ *
  * @param now the time of the monotonic clock.
  */
 class DocumentMirror(
-    now: () -> Duration = { Duration.ZERO },
-    private val rules: DocumentRules = DocumentRules { _, _ -> false },
+    now: () -> Duration,
+    private val rules: DocumentRules,
+    limits: DocumentLimits,
+    limitListener: DocumentLimitListener,
 ) {
-    private val documents = HashMap<String, StoredValue>()
-    private val history = ChangeHistory()
-    private val restoredDocuments = RestoredDocuments(now, rules)
+    private val documents = LimitedDocuments(limits.documentBytes, limitListener::onContentDropped)
+    private val history = ChangeHistory(limits.historyBytes, limitListener::onHistoryCut)
+    private val restoredDocuments = RestoredDocuments(now, rules, limits, limitListener)
     private val listeners = ArrayList<DocumentMirrorListener>()
 
     /** The store revision up to which all changes are applied; [StoreRevision.NONE] before the first read. */
@@ -52,8 +97,20 @@
 
     private val removalsAhead = RemovalsAhead()
 
-    /** Whether the store has left out changes after [revision]. */
-    val changesMissing: Boolean get() = latestRevision > revision
+    /** Creates a mirror with the usual limits that drops silently. */
+    constructor(
+        now: () -> Duration = { Duration.ZERO },
+        rules: DocumentRules = DocumentRules { _, _ -> false },
+    ) : this(now, rules, DocumentLimits(), DocumentLimitListener.None)
+
+    /** Upper bound for the memory of all documents, in bytes. */
+    val documentBytes: Long get() = documents.bytes
+
+    /** Upper bound for the memory of the changes that are kept for other gateways, in bytes. */
+    val historyBytes: Long get() = history.bytes
+
+    /** Whether documents have to be read: the store has left out changes, or there is room for dropped contents. */
+    val changesMissing: Boolean get() = latestRevision > revision || documents.hasRoomForDropped
 
     /** Adds a [listener] for later changes. */
     fun addListener(listener: DocumentMirrorListener) {
@@ -97,6 +154,7 @@
         revision = maxOf(revision, to)
         latestRevision = maxOf(latestRevision, revision)
         removalsAhead.forgetUntil(revision)
+        history.advance(revision)
     }
 
     /** Applies the withheld documents whose writers have had enough time to write them again. */
@@ -105,6 +163,9 @@
     /** The last change of each document after [after]; `null` if the history does not reach back that far. */
     fun changesSince(after: StoreRevision): DocumentChanges? = history.since(after, revision)
 
+    /** Whether the contents of all documents are known, so that other gateways can take them from this one. */
+    val contentsKnown: Boolean get() = documents.contentsKnown
+
     /** All documents. */
     fun all(): PersistentList<StoredValue> = documents.values.toPersistentList()
 
@@ -113,20 +174,18 @@
         if (change is DocumentChange.Removed && change.revision > revision) removalsAhead.add(change)
         val known = documents[change.key]
         if (change is DocumentChange.Written && known != null && change.document.repeats(known)) {
-            documents[change.key] = change.document
-        } else if (rules.hasEffect(change, known)) {
+            documents.put(change.document)
+        } else if (documents.restoredBy(change) || rules.hasEffect(change, known)) {
             replace(known, change)
         }
     }
 
     private fun replace(known: StoredValue?, change: DocumentChange) {
         if (known != null) restoredDocuments.onSuperseded(known)
-        when (change) {
-            is DocumentChange.Written -> documents[change.key] = change.document
-            is DocumentChange.Removed -> documents.remove(change.key)
-        }
-        history.add(change)
-        listeners.forEach { it.onChange(change) }
+        val held = documents.apply(change)
+        // Other gateways must not learn from this one of a document whose content was dropped.
+        if (held == change) history.add(change) else history.skip(change.revision)
+        listeners.forEach { it.onChange(held) }
     }
 }
 
--- a/gateway/src/main/kotlin/boragering/gateway/DocumentReplica.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DocumentReplica.kt
@@ -38,7 +38,7 @@
     private val feed = PeerChangeFeed(ports.link, loop)
 
     /** The replicated documents. */
-    val mirror = DocumentMirror(loop::now, ports.rules)
+    val mirror = DocumentMirror(loop::now, ports.rules, DocumentLimits(), DocumentLimitLog(gateway))
     private val peerSync =
         PeerDocumentSync(mirror, peers, ports.link, gateway.random, gateway.log, FollowerStoreStatus())
 
--- a/gateway/src/main/kotlin/boragering/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/GatewayMetrics.kt
@@ -48,6 +48,13 @@
 
     internal fun recordPausedStream() = pausedStreams.inc()
 
+    private val documentLimits =
+        registry.counter {
+            name("boragering_document_limits").help("times that a limit for documents was met").labelNames("kind")
+        }
+
+    internal fun recordDocumentLimit(kind: String) = documentLimits.labelValues(kind).inc()
+
     internal fun recordTargetCrash() = crashes.inc()
 
     internal fun recordQuarantine() = quarantines.inc()
--- a/gateway/src/main/kotlin/boragering/gateway/PeerDocumentSync.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/PeerDocumentSync.kt
@@ -64,10 +64,24 @@
 
     private fun answer(from: DaemonId, after: StoreRevision) {
         val changes = if (after == StoreRevision.NONE) null else mirror.changesSince(after)
-        val message = if (changes == null) allDocuments() else changedDocuments(after, changes)
+        val message = when {
+            changes != null -> changedDocuments(after, changes)
+            mirror.contentsKnown -> allDocuments()
+            else -> noDocuments()
+        }
         link.send(from, message)
     }
 
+    /** Tells only whether the store answers, because a document without its content must not reach other gateways. */
+    private fun noDocuments(): PeerMessage.Documents =
+        PeerMessage.Documents(
+            after = 0,
+            revision = StoreRevision.NONE.value,
+            written = emptyList(),
+            removed = emptyMap(),
+            storeAnswers = store.storeReachable,
+        )
+
     private fun allDocuments(): PeerMessage.Documents =
         PeerMessage.Documents(
             after = 0,
--- a/gateway/src/main/kotlin/boragering/gateway/RestoredDocuments.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/RestoredDocuments.kt
@@ -11,8 +11,14 @@
  *
  * @param now the time of the monotonic clock.
  */
-internal class RestoredDocuments(private val now: () -> Duration, private val rules: DocumentRules) {
-    private val superseded = SupersededDocuments(now, rules)
+internal class RestoredDocuments(
+    private val now: () -> Duration,
+    private val rules: DocumentRules,
+    limits: DocumentLimits,
+    limitListener: DocumentLimitListener,
+) {
+    private val superseded =
+        SupersededDocuments(now, rules, limits.supersededBytes, limitListener::onSupersededCut)
     private val withheld = HashMap<String, Withheld>()
 
     /** Records that [document] was replaced or removed. */
--- a/gateway/src/main/kotlin/boragering/gateway/SupersededDocuments.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/SupersededDocuments.kt
@@ -9,15 +9,31 @@
  * versions again. Used on the event loop only.
  *
  * @param now the time of the monotonic clock.
+ * @param maxBytes limit for the memory of the versions, in bytes; beyond it the oldest are forgotten.
+ * @param onCut called when versions were forgotten because of [maxBytes].
  */
-internal class SupersededDocuments(private val now: () -> Duration, private val rules: DocumentRules) {
+internal class SupersededDocuments(
+    private val now: () -> Duration,
+    private val rules: DocumentRules,
+    private val maxBytes: Long = Long.MAX_VALUE,
+    private val onCut: () -> Unit = {},
+) {
     private val versions = ArrayDeque<Version>()
+    private var bytes = 0L
 
     /** Records that [document] was replaced or removed. */
     fun add(document: StoredValue) {
         if (!rules.rewrittenAfterRestore(document.key)) return
         versions.addLast(Version(document, now()))
-        while (versions.size > MAX_VERSIONS || now() - versions.first().supersededAt > MAX_AGE) versions.removeFirst()
+        bytes += document.memoryBytes
+        while (versions.size > MAX_VERSIONS || now() - versions.first().supersededAt > MAX_AGE) removeOldest()
+        if (bytes <= maxBytes) return
+        while (bytes > maxBytes) removeOldest()
+        onCut()
+    }
+
+    private fun removeOldest() {
+        bytes -= versions.removeFirst().document.memoryBytes
     }
 
     /** Whether [document] is equivalent to a version of the same document that was superseded. */
