Test that a reset during an upload breaks the daemon's answers

The daemon's client of targets takes no end of a connection for the end of an answer: bodies need a length or chunks, and streams their end marker. Six cuts while a request is being written (before the head, plain body, chunks, events) are now tests; all pass with unchanged code.

--- a/adapters/src/test/kotlin/boragering/adapters/HttpTargetCallsTest.kt
+++ b/adapters/src/test/kotlin/boragering/adapters/HttpTargetCallsTest.kt
@@ -18,8 +18,13 @@
 class HttpTargetCallsTest : DescribeSpec({
     val calls = HttpTargetCalls(HttpClients.create(), CoroutineScope(Dispatchers.Default))
 
-    suspend fun send(address: String, path: String, parts: MutableList<AnswerPart>): Either<TargetFailure, Unit> {
-        val call = TargetCall(RequestId("r1"), address, "POST", path, persistentListOf(), Bytes.of("{}"), TIMEOUT)
+    suspend fun send(
+        address: String,
+        path: String,
+        parts: MutableList<AnswerPart>,
+        body: String = "{}",
+    ): Either<TargetFailure, Unit> {
+        val call = TargetCall(RequestId("r1"), address, "POST", path, persistentListOf(), Bytes.of(body), TIMEOUT)
         return calls.send(call) { parts += it }
     }
 
@@ -83,6 +88,25 @@
         }
     }
 
+    describe("a response to a long request whose connection is reset while the request is being written") {
+        val upload = "u".repeat(ResettingServer.UPLOAD_BYTES)
+        val stream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        listOf(
+            "before the head" to "",
+            "in a body without a length" to "HTTP/1.1 200 OK\r\n\r\npart",
+            "in a body with a length" to "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\npart",
+            "between two chunks" to "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+            "between two events" to "$stream\r\ndata: {\"id\":\"r1\"}\n\n",
+            "between two events in chunks" to
+                "${stream}Transfer-Encoding: chunked\r\n\r\n15\r\ndata: {\"id\":\"r1\"}\n\n\r\n",
+        ).forEach { (where, response) ->
+            it("is broken: $where (guards against a part that looks whole)") {
+                val result = ResettingServer(response).use { send(it.address, "/orders", mutableListOf(), upload) }
+                result.leftOrNull().shouldBeInstanceOf<TargetFailure.Broken>()
+            }
+        }
+    }
+
     it("treats a body without declared length or chunked encoding as broken, because truncation would go unnoticed") {
         val (result, _) = sendAndCollect("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", "/orders")
         result.leftOrNull().shouldBeInstanceOf<TargetFailure.Broken>()
