Tell the target's own end of a connection from a reset

The part that had arrived came as a complete success; a stream that was cut between two events ended as complete.

Cause: while a part of the request is unsent, the reset is noticed in a write. Netty then closes the channel without an exception, the decoder ends the body when the channel becomes inactive, and the listener of the write ignored the failure. Only resets that a read notices were looked at.

Change: connections to targets are half-closable, so that the target's end is an event of its own; an end that comes with the channel is none. A failed write leaves what arrived before readable, and its error tells whether the target had sent its end (EPIPE) or not (ECONNRESET), which the reads that follow do not. An answer that ended in order stays whole, also if a reset follows; that was lost before.

--- a/gateway/src/main/kotlin/boragering/gateway/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ConnectionPool.kt
@@ -102,6 +102,9 @@
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, context.connectTimeout.inWholeMilliseconds.toInt())
             .option(ChannelOption.TCP_NODELAY, true)
+            // The end that the target sends, and a failed write, differ from other ends of the connection.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+            .option(ChannelOption.AUTO_CLOSE, false)
             .handler(handler)
             .connect(InetSocketAddress(address.host, address.port))
             .addListener { future -> onResult((future as ChannelFuture).channel(), future.cause()) }
@@ -117,7 +120,7 @@
                     openConnections.remove(connection)
                     idleConnections.remove(connection)
                 }
-                channel.pipeline().addLast(decoder, HttpRequestEncoder(), connection)
+                channel.pipeline().addLast(decoder, HttpRequestEncoder(), connection, connection.endHandler)
             }
         }
 }
@@ -144,7 +147,7 @@
 
     /** Pauses or resumes reading of the response, which limits the memory that a slow caller's response uses. */
     fun setReading(enabled: Boolean) {
-        connection?.channel?.config()?.isAutoRead = enabled
+        connection?.setReading(enabled)
     }
 
     fun begin(opened: TargetConnection) {
--- a/gateway/src/main/kotlin/boragering/gateway/ResponseClassifier.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/ResponseClassifier.kt
@@ -1,45 +1,14 @@
 package boragering.gateway
 
-import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.PrematureChannelClosureException
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
-import io.netty.util.ReferenceCountUtil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/**
- * Decodes a target's responses. A response to a HEAD request has no body, whatever its headers say. Bytes that arrive
- * while no response is expected are not decoded; they close the connection.
- */
-internal class TargetResponseDecoder : HttpResponseDecoder() {
-    /** Whether the next response has no body. */
-    var expectNoBody = false
-
-    /** Whether a call waits for its response. */
-    var expectResponse = false
-
-    /** Whether bytes follow the part of a response that was decoded last. */
-    val hasUndecodedBytes: Boolean get() = actualReadableBytes() > 0
-
-    override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        if (expectResponse) {
-            super.channelRead(context, message)
-        } else {
-            ReferenceCountUtil.release(message)
-            context.close()
-        }
-    }
-
-    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
-        expectNoBody || super.isContentAlwaysEmpty(message)
-}
-
 /** How the head of a response relates to the call in progress. */
 internal sealed interface HeadClassification {
     /** The head begins the final response to the call. */
--- a/gateway/src/main/kotlin/boragering/gateway/TargetConnection.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/TargetConnection.kt
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
-import java.io.IOException
 import kotlin.time.Duration
 
 /** One connection to a target, which carries one call at a time. Runs on the event loop. */
@@ -19,9 +18,11 @@
     private val decoder: TargetResponseDecoder,
 ) : ChannelInboundHandlerAdapter() {
     private val classifier = ResponseClassifier(pool.identity, decoder)
+
+    /** Handles the end of the connection. */
+    val endHandler = ConnectionEndHandler(decoder, ::fail)
     private var call: TargetCall? = null
     private var skipped = SkippedResponses()
-    private var failed = false
     private var writeFuture: ChannelFuture? = null
 
     /** When the last call ended. */
@@ -40,12 +41,20 @@
         skipped = SkippedResponses()
         decoder.expectNoBody = next.request.method().name() == "HEAD"
         decoder.expectResponse = true
-        writeFuture = channel.writeAndFlush(next.request).addListener {
-            val unwritten = !it.isSuccess && channel.isActive && call === next
-            if (unwritten) fail(CallFailure.Lost("the request could not be written: ${it.cause()}"))
+        writeFuture = channel.writeAndFlush(next.request).addListener { future ->
+            val failure = future.cause()
+            if (failure != null && call === next && endHandler.onWriteFailure(failure)) setReading(true)
         }
     }
 
+    /**
+     * Pauses or resumes the reading of the response. After a failed write everything is read, which fits into the
+     * socket's buffer: until its end is read, such a socket keeps the event loop busy.
+     */
+    fun setReading(enabled: Boolean) {
+        channel.config().isAutoRead = enabled || writeFuture?.cause() != null
+    }
+
     /** Cancels [ended] by closing the connection, which the target notices. */
     fun cancel(ended: TargetCall) {
         if (call !== ended) return
@@ -57,7 +66,7 @@
         try {
             if (message is HttpResponse) onHead(message)
             if (message is HttpContent) onContent(message)
-            if (call?.accepting == false) channel.config().isAutoRead = false
+            if (call?.accepting == false) setReading(false)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -67,17 +76,6 @@
         call?.onReadComplete()
     }
 
-    @Deprecated("Deprecated in Netty, which still calls it")
-    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        failed = true
-        val reason = "${cause.javaClass.simpleName}: ${cause.message}"
-        fail(if (cause is IOException) CallFailure.Disconnected(reason) else CallFailure.Lost(reason))
-    }
-
-    override fun channelInactive(context: ChannelHandlerContext) {
-        fail(CallFailure.Disconnected("the connection closed before the response was complete"))
-    }
-
     private fun onHead(response: HttpResponse) {
         val current = call
         if (current == null) {
@@ -111,14 +109,17 @@
     private fun forward(current: TargetCall, content: HttpContent) {
         if (content.content().isReadable) current.onContent(ByteBufUtil.getBytes(content.content()))
         if (call === current) current.defect?.let { return fail(CallFailure.Lost(it)) }
-        // The decoder also ends a body without a length when the connection is reset, which is a failure.
-        if (content !is LastHttpContent || call !== current || failed) return
+        if (content is LastHttpContent && call === current) end(current)
+    }
+
+    private fun end(current: TargetCall) {
+        if (decoder.cutOff) return fail(ConnectionEndHandler.CLOSED)
         call = null
         decoder.expectResponse = false
         idleSince = pool.now()
         current.onEnd()
         // A caller that reads slowly has paused the reading of its own response only.
-        channel.config().isAutoRead = true
+        setReading(true)
         // What the last call wrote and received has to be complete before the connection can carry another one.
         val reusable = classifier.reusable && writeFuture?.isSuccess == true && !decoder.hasUndecodedBytes
         if (reusable) pool.release(this) else channel.close()
--- a/gateway/src/test/kotlin/boragering/gateway/ScriptedTarget.kt
+++ b/gateway/src/test/kotlin/boragering/gateway/ScriptedTarget.kt
@@ -13,12 +13,16 @@
     fun header(name: String): String? = headers[name.lowercase()]
 }
 
-/** Reads one HTTP message with any framing; returns `null` at the end of the stream. */
-internal fun readMessage(input: InputStream): ReadMessage? {
+/**
+ * Reads one HTTP message with any framing, without its body if [withBody] is `false`; returns `null` at the end of the
+ * stream.
+ */
+internal fun readMessage(input: InputStream, withBody: Boolean = true): ReadMessage? {
     val start = readLine(input) ?: return null
     val headers = generateSequence { readLine(input)?.takeIf { it.isNotEmpty() } }
         .associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
     val body = when {
+        !withBody -> ""
         headers["transfer-encoding"] == "chunked" -> readChunks(input)
         headers["content-length"] != null -> input.readNBytes(
             headers.getValue("content-length").toInt()
@@ -57,6 +61,14 @@
 
     fun close() = socket.close()
 
+    /** Sends the end of the target's bytes, while it may go on to read. */
+    fun finish() = socket.shutdownOutput()
+
+    /** Reads [bytes] of a request's body that the target has left unread. */
+    fun readUpload(bytes: Int) {
+        socket.getInputStream().readNBytes(bytes)
+    }
+
     fun reset() {
         socket.setSoLinger(true, 0)
         socket.close()
@@ -121,6 +133,10 @@
     @Volatile
     var beforeRead: () -> Unit = {}
 
+    /** Whether the target reads the bodies of requests; otherwise it leaves them to the script. */
+    @Volatile
+    var readsBodies = true
+
     /** Whether the target has crashed. */
     val crashed: Boolean get() = server.isClosed
 
@@ -137,7 +153,7 @@
         sockets += socket
         beforeRead()
         while (!socket.isClosed) {
-            val request = runCatching { readMessage(socket.getInputStream()) }.getOrNull() ?: return
+            val request = runCatching { readMessage(socket.getInputStream(), readsBodies) }.getOrNull() ?: return
             requests += request
             runCatching { Script(request, socket, this).script(requests.size) }.onFailure { failures += it }
         }
