Limit the messages that wait for all peers, in bytes

Each queue to a peer was limited (8 MiB, 4,096 messages), and what a socket had not taken was not counted at all. A dozen peers that stop reading together hold more than the heap of 96 MB.

Change: SendBudget limits what waits for all peers to an eighth of the heap, from the queue until it is written. A message without room displaces the oldest items of its own peer, or is dropped, as one that finds its queue full; the next comparison restores it. Short messages (pings) have a part to themselves, so that no peer counts as lost for it. A line is logged once a second, drops are counted as before, and boragering_peer_send_bytes is new. A queue that is filled after its last link has ended is emptied, since its bytes would stay reserved.

--- a/adapters/src/main/kotlin/boragering/adapters/PeerFrameWriter.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/PeerFrameWriter.kt
@@ -3,6 +3,7 @@
 import boragering.core.membership.HandshakeMessage
 import boragering.core.membership.PeerTrafficMetrics
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import java.util.concurrent.atomic.AtomicBoolean
 
 /**
@@ -36,7 +37,7 @@
         // What the socket does not take yet stays in the queue, where urgent messages overtake others.
         while (channel.isActive && channel.isWritable) {
             val next = source.poll() ?: break
-            write(next.body)
+            write(next.body).addListener { source.release(next) }
             traffic.sent(next.kind, next.body.size)
             written = true
         }
@@ -54,8 +55,8 @@
         channel.close()
     }
 
-    private fun write(body: ByteArray) {
+    private fun write(body: ByteArray): ChannelFuture {
         val frame = channel.alloc().buffer(Int.SIZE_BYTES + body.size)
-        channel.write(frame.writeInt(body.size).writeBytes(body))
+        return channel.write(frame.writeInt(body.size).writeBytes(body))
     }
 }
--- a/adapters/src/main/kotlin/boragering/adapters/PeerLinkSettings.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/PeerLinkSettings.kt
@@ -46,6 +46,7 @@
 /** The dependencies of a [SocketPeerLink]. */
 class PeerLinkPorts(val clock: Clock, random: Random, val traffic: PeerTrafficMetrics) {
     internal val random: Random = LockedRandom(random)
+    internal val sendBudget = SendBudget(clock)
 }
 
 /**
--- a/adapters/src/main/kotlin/boragering/adapters/PeerLinkState.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/PeerLinkState.kt
@@ -8,7 +8,7 @@
 
 /** The send queue for one peer or address, its open links, and the backoff of connection attempts. Thread-safe. */
 internal class PeerLinkState(ports: PeerLinkPorts) {
-    val queue = SendQueue(ports.traffic)
+    val queue = SendQueue(ports.traffic, ports.sendBudget)
     private val random = ports.random
     private val lock = ReentrantLock()
     private val links = mutableSetOf<PeerFrameWriter>()
--- a/adapters/src/main/kotlin/boragering/adapters/PeerStack.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/PeerStack.kt
@@ -68,6 +68,10 @@
         sharedLoop,
     )
 
+    init {
+        ports.registry.gauge("boragering_peer_send_bytes", "bytes of messages that wait to be sent") { link.sendBytes }
+    }
+
     /** The view of which daemons are live. */
     val membership = Membership(
         settings.registration,
--- a/adapters/src/main/kotlin/boragering/adapters/SendQueue.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/SendQueue.kt
@@ -11,9 +11,10 @@
 /**
  * A bounded queue of messages to one peer. Urgent messages, whose delay would change what the recipient concludes, are
  * sent first. When the queue is full, the oldest non-urgent message is dropped, because the next comparison of items
- * restores its content; if there is none, the oldest urgent message is dropped.
+ * restores its content; if there is none, the oldest urgent message is dropped. Messages that find no room in [budget],
+ * which all peers share, displace the oldest of their own queue, or are dropped themselves.
  */
-internal class SendQueue(private val traffic: PeerTrafficMetrics) {
+internal class SendQueue(private val traffic: PeerTrafficMetrics, private val budget: SendBudget) {
     private val lock = ReentrantLock()
     private val urgent = ArrayDeque<OutgoingFrame>()
     private val bulk = ArrayDeque<OutgoingFrame>()
@@ -21,21 +22,28 @@
 
     /** Adds [frame], and drops frames until the queue is within its limits. */
     fun offer(frame: OutgoingFrame) {
-        val dropped = lock.withLock {
-            (if (frame.kind in URGENT_KINDS) urgent else bulk) += frame
-            bytes += frame.body.size
-            generateSequence { if (exceedsLimits()) removeOldest() else null }.toList()
+        val displaced = ArrayList<OutgoingFrame>()
+        val accepted = lock.withLock {
+            val reserved = reserve(frame, displaced)
+            if (reserved) add(frame, displaced)
+            reserved
         }
-        dropped.forEach { traffic.dropped(it.kind) }
+        displaced.forEach { traffic.dropped(it.kind) }
+        if (!accepted) traffic.dropped(frame.kind)
     }
 
-    /** Removes and returns the next frame; `null` if there is none. */
+    /**
+     * Removes and returns the next frame; `null` if there is none. Its bytes remain reserved until it has been written.
+     */
     fun poll(): OutgoingFrame? = lock.withLock {
         val next = urgent.removeFirstOrNull() ?: bulk.removeFirstOrNull()
         bytes -= next?.body?.size ?: 0
         next
     }
 
+    /** Returns the bytes of [frame], which was written or will not be. */
+    fun release(frame: OutgoingFrame) = budget.release(frame.body.size)
+
     /** Drops all frames, for example when the peer is unreachable, and counts them as dropped. */
     fun clear() = drain().forEach { traffic.dropped(it.kind) }
 
@@ -45,14 +53,31 @@
         urgent.clear()
         bulk.clear()
         bytes = 0
+        all.forEach(::release)
         all
     }
 
+    /** Reserves the bytes of [frame], if need be those of older frames, which are added to [displaced]. */
+    private fun reserve(frame: OutgoingFrame, displaced: MutableList<OutgoingFrame>): Boolean {
+        while (!budget.tryReserve(frame.body.size)) {
+            budget.logDrop()
+            displaced += remove(bulk) ?: return false
+        }
+        return true
+    }
+
+    private fun add(frame: OutgoingFrame, displaced: MutableList<OutgoingFrame>) {
+        (if (frame.kind in URGENT_KINDS) urgent else bulk) += frame
+        bytes += frame.body.size
+        while (exceedsLimits()) displaced += remove(bulk) ?: remove(urgent) ?: break
+    }
+
     private fun exceedsLimits() = bytes > MAXIMUM_BYTES || urgent.size + bulk.size > MAXIMUM_FRAMES
 
-    private fun removeOldest(): OutgoingFrame {
-        val oldest = bulk.removeFirstOrNull() ?: urgent.removeFirst()
+    private fun remove(frames: ArrayDeque<OutgoingFrame>): OutgoingFrame? {
+        val oldest = frames.removeFirstOrNull() ?: return null
         bytes -= oldest.body.size
+        release(oldest)
         return oldest
     }
 
--- a/adapters/src/main/kotlin/boragering/adapters/SocketPeerLink.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/SocketPeerLink.kt
@@ -55,6 +55,9 @@
     private val handshakePermits = Semaphore(settings.maximumHandshakes)
     private val linkPermits = Semaphore(settings.maximumAcceptedLinks)
 
+    /** Bytes of the messages that wait to be sent to all peers. */
+    val sendBytes: Long get() = ports.sendBudget.bytes
+
     /** Starts to listen and returns the port number. */
     suspend fun start(): Int {
         val bootstrap = ServerBootstrap().group(loop).channel(NioServerSocketChannel::class.java)
@@ -108,6 +111,8 @@
         } else {
             state.queue.offer(OutgoingFrame(message.kind, body))
             state.flush()
+            // The last link may have ended meanwhile, after which nothing empties the queue.
+            if (!state.active) state.queue.clear()
         }
         if (connectNow) connect(state, checkNotNull(address), peer)
     }
