Count what an answer holds, not what has passed

And a stream of events with a server error is held whole, without a limit, before it is dropped for the next attempt.

Cause: AnswerRelay compared the limit for bodies that have to be checked with all bytes that had ever arrived, also of bodies that are forwarded at once, and then held, and so forwarded, no further part. Events were not counted.

Change: HeldParts counts what is held, events too, and starts anew when it is forwarded. Only bodies that have to be checked have that limit.

--- a/core/src/main/kotlin/boragering/core/requests/AnswerRelay.kt
+++ b/core/src/main/kotlin/boragering/core/requests/AnswerRelay.kt
@@ -36,8 +36,7 @@
     private val requestId = plan.request.id.value
     private val isModel = plan.entry is ModelEntry
     private var start: AnswerPart.Start? = null
-    private val heldParts = ArrayList<AnswerPart>()
-    private var heldBytes = 0
+    private val held = HeldParts()
     private var foreignPartCount = 0
     private var isForeignAnswer = false
     private var finalChunkSeen = false
@@ -106,8 +105,8 @@
 
     /** Forwards the parts that were held back. */
     suspend fun flush() {
-        listOfNotNull(start.takeUnless { started }).plus(heldParts).forEach { forward(it) }
-        heldParts.clear()
+        listOfNotNull(start.takeUnless { started }).plus(held.parts).forEach { forward(it) }
+        held.clear()
     }
 
     /** The answer in the form that is recorded in the claim. */
@@ -119,9 +118,8 @@
         firstPartAt = firstPartAt ?: clock.monotonic()
         if (part is AnswerPart.Event) finalChunkSeen = finalChunkSeen || AnswerContent.isFinalChunk(part)
         bodyBuffer.add(part)
-        if (heldBytes <= MAXIMUM_CHECKED_BYTES) heldParts.add(part)
-        heldBytes += (part as? AnswerPart.Body)?.bytes?.size ?: 0
-        val replaceable = isServerError && plan.repeatable && !started && heldBytes <= MAXIMUM_HELD_BYTES
+        held.add(part, if (requiresBodyCheck()) MAXIMUM_CHECKED_BYTES else Long.MAX_VALUE)
+        val replaceable = isServerError && plan.repeatable && !started && held.size <= MAXIMUM_HELD_BYTES
         if (!requiresBodyCheck() && !replaceable) flush()
     }
 
@@ -151,7 +149,7 @@
         start?.let { AnswerContent.contentType(it) }.orEmpty().startsWith(JSON_TYPE)
 
     private fun bodyBelongsToRequest(): Boolean {
-        val own = heldBytes <= MAXIMUM_CHECKED_BYTES && AnswerContent.statedRequestId(heldParts) == requestId
+        val own = held.size <= MAXIMUM_CHECKED_BYTES && AnswerContent.statedRequestId(held.parts) == requestId
         if (!own) dropForeign()
         return own
     }
@@ -160,7 +158,7 @@
         const val MAXIMUM_HELD_BYTES = 64 * 1024
 
         /** A longer single-body answer cannot be checked and counts as incomplete. Streams have no such limit. */
-        const val MAXIMUM_CHECKED_BYTES = 4 * 1024 * 1024
+        const val MAXIMUM_CHECKED_BYTES = 4L * 1024 * 1024
         const val LOWEST_SERVER_ERROR = 500
         val SUCCESS = 200..299
         const val EVENT_STREAM = "text/event-stream"
--- a/core/src/test/kotlin/boragering/core/requests/FakeTarget.kt
+++ b/core/src/test/kotlin/boragering/core/requests/FakeTarget.kt
@@ -47,6 +47,9 @@
     var workTime = 10.milliseconds
     var status = CREATED
 
+    /** The bodies of answers that are no streams. */
+    var bodies = listOf("{\"booked\":", "true}")
+
     /** Number of concurrent requests that each address accepts. Further requests are refused. */
     var slots = Int.MAX_VALUE
     val running = HashMap<String, Int>()
@@ -122,7 +125,7 @@
     }
 
     private fun parts(identity: String, fault: TargetFault?, events: Int): List<AnswerPart> = when {
-        !stream -> listOf(AnswerPart.Body(Bytes.of("{\"booked\":")), AnswerPart.Body(Bytes.of("true}")))
+        !stream -> bodies.map { AnswerPart.Body(Bytes.of(it)) }
         fault == TargetFault.FOREIGN -> events("another")
         fault == TargetFault.FOREIGN_PART_FIRST -> events("another").take(1) + events(identity)
         else -> events(identity, events)
