Limit an event of a target's stream as a whole

The daemon's reader of streams limited each line of an event (1 MiB), but not their number, so that lines without an empty one between them were held without end.

Change: an event longer than 4 Mi characters breaks the stream off.

Evidence: HttpTargetCallsTest, "breaks off an event with lines without end", fails on (5,000,000 characters arrive as one event of a complete stream) and passes now.

--- a/adapters/src/main/kotlin/boragering/adapters/ServerSentEventReader.kt
+++ b/adapters/src/main/kotlin/boragering/adapters/ServerSentEventReader.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.contentOrNull
+import java.io.IOException
 
 /** Reads a stream of server-sent events that the event `[DONE]` terminates. */
 internal class ServerSentEventReader(private val channel: ByteReadChannel) {
@@ -30,12 +31,16 @@
     private fun StringBuilder.appendDataLine(text: String) {
         if (isNotEmpty()) append('\n')
         append(text)
+        if (length > MAXIMUM_EVENT_CHARACTERS) throw IOException("an event is longer than $MAXIMUM_EVENT_CHARACTERS")
     }
 
     private companion object {
         const val DATA_FIELD = "data:"
         const val END_MARKER = "[DONE]"
         const val MAXIMUM_LINE_BYTES = 1024L * 1024
+
+        /** Limit for all lines of an event. */
+        const val MAXIMUM_EVENT_CHARACTERS = 4 * 1024 * 1024
     }
 }
 
--- a/adapters/src/test/kotlin/boragering/adapters/HttpTargetCallsTest.kt
+++ b/adapters/src/test/kotlin/boragering/adapters/HttpTargetCallsTest.kt
@@ -49,6 +49,14 @@
         }
     }
 
+    it("breaks off an event with lines without end (guards against lines that exhaust the heap)") {
+        val line = "data: ${"x".repeat(1_000)}\n"
+        val head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+        val (result, parts) = sendAndCollect("$head${line.repeat(5_000)}\ndata: [DONE]\n\n", "/v1/chat/completions")
+        result.leftOrNull().shouldBeInstanceOf<TargetFailure.Broken>()
+        parts.filterIsInstance<AnswerPart.Event>() shouldBe emptyList()
+    }
+
     describe("a response whose status is no final HTTP status") {
         listOf("000", "099", "101", "600", "999").forEach { status ->
             it("is broken, and nothing of it is received: $status (guards against answers that are none)") {
