Limit the values of log fields

The writer's queue holds 2,048 lines, and lines that are held at a start have no limit but that for a second; neither limits the length of a line, which can quote what a target or a writer of the store sent.

Change: a value of more than 2,000 characters is cut and ends with an ellipsis.

--- a/gateway/src/main/kotlin/boragering/gateway/DecisionLog.kt
+++ b/gateway/src/main/kotlin/boragering/gateway/DecisionLog.kt
@@ -55,7 +55,9 @@
     }
 
     private fun StringMapMessage.add(name: String, value: Any?) {
-        if (value != null) with(name, value.toString())
+        if (value == null) return
+        val text = value.toString()
+        with(name, if (text.length <= MAX_VALUE_CHARACTERS) text else text.take(MAX_VALUE_CHARACTERS) + ELLIPSIS)
     }
 
     /**
@@ -104,5 +106,9 @@
         /** Limits per second. */
         const val MAX_ROUTINE_LINES = 60
         const val MAX_NOTABLE_LINES = 100
+
+        /** Longest value of a field; the writer's queue holds a number of lines, whatever their length. */
+        const val MAX_VALUE_CHARACTERS = 2_000
+        const val ELLIPSIS = "…"
     }
 }
