Limit the time line of a daemon in characters

Change: a text is cut at 2,000 characters, and the oldest events are removed when all texts exceed 8 Mi characters.

Evidence: TimelineBufferTest, "keeps a limited number of characters", fails on (200,000,000 characters are held) and passes now.

--- a/core/src/main/kotlin/boragering/core/timeline/TimelineBuffer.kt
+++ b/core/src/main/kotlin/boragering/core/timeline/TimelineBuffer.kt
@@ -24,13 +24,21 @@
     ).all { it }
 }
 
-/** Keeps the newest events of one daemon; the oldest event is removed when [capacity] is reached. */
+/**
+ * Keeps the newest events of one daemon. The oldest events are removed when [capacity] is reached, or when all texts
+ * together exceed [MAXIMUM_CHARACTERS]; a text of more than [MAXIMUM_TEXT_CHARACTERS] is cut.
+ */
 class TimelineBuffer(private val clock: HybridClock, private val capacity: Int = CAPACITY) : Timeline {
     private val events = ArrayDeque<TimelineEvent>()
+    private var characters = 0
 
     override fun record(event: TimelineEntry): Unit = synchronized(events) {
-        if (events.size == capacity) events.removeFirst()
-        events.addLast(TimelineEvent(clock.issue(), event))
+        val recorded = event.copy(text = event.text.take(MAXIMUM_TEXT_CHARACTERS))
+        characters += recorded.text.length
+        while (events.size >= capacity || characters > MAXIMUM_CHARACTERS) {
+            characters -= events.removeFirst().entry.text.length
+        }
+        events.addLast(TimelineEvent(clock.issue(), recorded))
     }
 
     /** Returns the newest matching events in the order of their timestamps. */
@@ -40,6 +48,12 @@
     companion object {
         /** The default number of events that a daemon keeps. */
         const val CAPACITY = 20_000
+
+        /** Limit for the text of an event, which can quote what a target sent. */
+        const val MAXIMUM_TEXT_CHARACTERS = 2_000
+
+        /** Limit for the texts of all events of a daemon. */
+        const val MAXIMUM_CHARACTERS = 8 * 1024 * 1024
     }
 }
 
--- a/core/src/test/kotlin/boragering/core/timeline/TimelineBufferTest.kt
+++ b/core/src/test/kotlin/boragering/core/timeline/TimelineBufferTest.kt
@@ -28,6 +28,14 @@
             buffer.query(TimelineQuery()).map { it.entry.text } shouldContainExactly listOf("3", "4", "5")
         }
 
+        it("keeps a limited number of characters (guards against long texts that exhaust the heap)") {
+            val buffer = buffer(capacity = 20_000)
+            repeat(20_000) { buffer.record(event("$it".padEnd(10_000))) }
+            val texts = buffer.query(TimelineQuery()).map { it.entry.text }
+            texts.sumOf { it.length } shouldBeLessThan (8 shl 20) + 1
+            texts.last().trim() shouldBe "19999"
+        }
+
         it("keeps the events of several threads in timestamp order") {
             val buffer = buffer(capacity = 4_000)
             (1..4).map { thread { repeat(1_000) { buffer.record(event("x")) } } }.forEach { it.join() }
